--- a/Source/App/Commands.h
+++ b/Source/App/Commands.h
@@ -11,6 +11,9 @@
 /// `camphorstep check`: checks settings.
 int RunCheckCommand(int aCount, const char* const* aArguments);
 
+/// `camphorstep gateway`: runs the proxy on the users' platform.
+int RunGatewayCommand(int aCount, const char* const* aArguments);
+
 /// `camphorstep status`: shows what a host knows.
 int RunStatusCommand(int aCount, const char* const* aArguments);
 
--- a/Source/App/Main.cpp
+++ b/Source/App/Main.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::array kCommands{
   Command{ "proxy", "run the proxy", camphorstep::RunProxyCommand },
+  Command{ "gateway",
+           "run the proxy on the users' platform",
+           camphorstep::RunGatewayCommand },
   Command{ "check", "check a settings file", camphorstep::RunCheckCommand },
   Command{ "status", "show what hosts know", camphorstep::RunStatusCommand },
   Command{ "profile",
--- /dev/null
+++ b/Source/Backend/BackendState.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Common/Time.h"
+#include "Gateway/BackendMessage.h"
+#include "Gateway/Ids.h"
+#include "Gateway/StoreRecord.h"
+#include "Session/SessionState.h"
+
+namespace camphorstep::gateway {
+
+/// What the next answer on a connection is the answer to.
+enum class ExchangeKind : std::uint8_t
+{
+  /// Brings the connection's session values and prepared statements to what
+  /// the next statement needs.
+  Preparation,
+  Begin,
+  Statement,
+  /// Ends a transaction that nobody waits for.
+  Rollback,
+  Status,
+};
+
+/// A request whose answer has not come yet.
+struct Exchange
+{
+  ExchangeKind mKind = ExchangeKind::Status;
+  Instant mSentAt;
+};
+
+/// A connection to a backend server.
+struct Link
+{
+  LinkId mId;
+  ServerId mServer;
+  bool mReady = false;
+  /// Whether the connection serves status requests only.
+  bool mControl = false;
+  Instant mOpenedAt;
+  Instant mIdleSince;
+  /// The session whose statement or transaction it carries.
+  SessionId mSession;
+  std::deque<Exchange> mExchanges;
+  /// What the server holds for the connection.
+  std::map<std::string, std::string> mValues;
+  std::set<PreparedStatement> mPrepared;
+};
+
+/// A backend server as this host knows it, and the connections to it.
+struct Backend
+{
+  ServerId mId;
+  GroupId mGroup;
+  ServerEntry mEntry;
+  /// Since when the store has no entry for the server.
+  std::optional<Instant> mMissingSince;
+  /// Since when the server is known to be leaving.
+  std::optional<Instant> mLeavingSince;
+
+  /// The newest status, and when it was asked for.
+  std::optional<BackendStatus> mStatus;
+  Instant mStatusAskedAt;
+  /// When the server was last heard on any connection.
+  Instant mHeardAt;
+  /// Openings in a row that the server's machine has refused.
+  std::uint32_t mRefusals = 0;
+  Position mApplied;
+  /// Until when the server is passed over for positions above mApplied.
+  Instant mBehindUntil;
+
+  LinkId mControlLink;
+  std::vector<LinkId> mLinks;
+  std::uint32_t mOpening = 0;
+  Instant mOpenAfter;
+  /// Statements of this host that the server is running.
+  std::uint32_t mRunning = 0;
+  std::map<QueuePlace, SessionId> mQueue;
+};
+
+}
--- /dev/null
+++ b/Source/Backend/Pool.cpp
@@ -0,0 +1,283 @@
+#include "Backend/Pool.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "Backend/Preparation.h"
+#include "Gateway/Tuning.h"
+#include "Session/Execution.h"
+#include "Session/Routing.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+/// How many statements of this host may run at a server when one more of a
+/// given urgency is to start.
+std::uint32_t
+RunningLimit(const Backend& aBackend, std::uint32_t aUrgency)
+{
+  const std::uint32_t slots = std::max(1U, aBackend.mEntry.mSlots);
+  switch (aUrgency) {
+    case 0:
+      return 2 * slots;
+    case 1:
+      return slots;
+    default:
+      return std::max(1U, slots / 2);
+  }
+}
+
+std::uint32_t
+LinkLimit(const Context& aContext, const Backend& aBackend)
+{
+  const Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
+  const std::uint32_t most =
+    group == nullptr ? 0 : group->mRules.mMaxConnections;
+  // Hosts differ in the work that reaches them, so each may have half.
+  return most <= kSpareConnections ? 1 : (most - kSpareConnections + 1) / 2;
+}
+
+/// Whether the server is known to hold as many connections as it takes.
+bool
+IsFull(const Context& aContext, const Backend& aBackend)
+{
+  const Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
+  return group != nullptr && aBackend.mStatus &&
+         aBackend.mStatus->mConnections + 1 >= group->mRules.mMaxConnections;
+}
+
+/// Finds the idle connection that needs the least preparation, or nullptr.
+Link*
+BestIdleLink(Context& aContext,
+             const Backend& aBackend,
+             const Session& aSession)
+{
+  Link* best = nullptr;
+  int bestEffort = 0;
+  for (const LinkId id : aBackend.mLinks) {
+    Link* const link = Find(aContext.mState.mLinks, id);
+    if (link == nullptr || !link->mReady || link->mSession ||
+        !link->mExchanges.empty()) {
+      continue;
+    }
+    const int effort = PreparationEffort(*link, aSession);
+    if (best == nullptr || effort < bestEffort) {
+      best = link;
+      bestEffort = effort;
+    }
+  }
+  return best;
+}
+
+void
+OpenMore(Context& aContext, Backend& aBackend)
+{
+  if (aBackend.mOpenAfter > aContext.mNow) {
+    aContext.mState.mTimers.ArmSooner(
+      TimerKind::Pool, aBackend.mId.mValue, aBackend.mOpenAfter);
+    return;
+  }
+  const std::uint32_t limit = LinkLimit(aContext, aBackend);
+  while (aBackend.mOpening < kMaxOpening &&
+         aBackend.mOpening < aBackend.mQueue.size() &&
+         aBackend.mLinks.size() < limit &&
+         (aBackend.mLinks.empty() || !IsFull(aContext, aBackend))) {
+    OpenLinkTo(aContext, aBackend, false);
+  }
+}
+
+bool
+CountsAsRunning(ExchangeKind aKind)
+{
+  return aKind == ExchangeKind::Statement || aKind == ExchangeKind::Begin;
+}
+
+}
+
+bool
+TakesNewWork(const Backend& aBackend, Instant aNow)
+{
+  if (!aBackend.mLeavingSince) {
+    return true;
+  }
+  const bool leads = aBackend.mStatus && aBackend.mStatus->mPrimary;
+  return leads && aNow - *aBackend.mLeavingSince < kLeavingPrimaryUse;
+}
+
+void
+EnqueueAt(Context& aContext, Session& aSession, Backend& aBackend)
+{
+  ActiveStatement& active = *aSession.mActive;
+  active.mStage = StatementStage::Queued;
+  active.mServer = aBackend.mId;
+  aBackend.mQueue.emplace(active.mPlace, aSession.mId);
+  DispatchQueue(aContext, aBackend);
+}
+
+void
+LeaveQueue(Context& aContext, Session& aSession)
+{
+  const ActiveStatement& active = *aSession.mActive;
+  if (active.mStage != StatementStage::Queued) {
+    return;
+  }
+  if (Backend* const backend =
+        Find(aContext.mState.mBackends, active.mServer)) {
+    backend->mQueue.erase(active.mPlace);
+  }
+}
+
+void
+DispatchQueue(Context& aContext, Backend& aBackend)
+{
+  while (!aBackend.mQueue.empty()) {
+    const auto it = aBackend.mQueue.begin();
+    if (aBackend.mRunning >= RunningLimit(aBackend, it->first.mUrgency)) {
+      return;
+    }
+    Session* const session = Find(aContext.mState.mSessions, it->second);
+    if (session == nullptr || !session->mActive) {
+      aBackend.mQueue.erase(it);
+      continue;
+    }
+    Link* const link = BestIdleLink(aContext, aBackend, *session);
+    if (link == nullptr) {
+      OpenMore(aContext, aBackend);
+      return;
+    }
+    aBackend.mQueue.erase(it);
+    StartOnLink(aContext, *session, *link);
+  }
+}
+
+void
+RerouteQueue(Context& aContext, Backend& aBackend)
+{
+  const std::map<QueuePlace, SessionId> queue =
+    std::exchange(aBackend.mQueue, {});
+  for (const auto& [place, id] : queue) {
+    if (Session* const session = Find(aContext.mState.mSessions, id)) {
+      RouteStatement(aContext, *session);
+    }
+  }
+}
+
+LinkId
+OpenLinkTo(Context& aContext, Backend& aBackend, bool aControl)
+{
+  Link link;
+  link.mId = NewId<LinkId>(aContext);
+  link.mServer = aBackend.mId;
+  link.mControl = aControl;
+  link.mOpenedAt = aContext.mNow;
+  if (aControl) {
+    aBackend.mControlLink = link.mId;
+  } else {
+    aBackend.mLinks.push_back(link.mId);
+    ++aBackend.mOpening;
+    aContext.mState.mTimers.ArmSooner(
+      TimerKind::Pool, aBackend.mId.mValue, aContext.mNow + kOpenTimeout);
+  }
+  ++aContext.mState.mCounters.mLinksOpened;
+  Emit(aContext,
+       OpenLink{ link.mId,
+                 aBackend.mEntry.mAddress,
+                 aBackend.mEntry.mGroup,
+                 aBackend.mEntry.mName });
+  const LinkId id = link.mId;
+  aContext.mState.mLinks.emplace(id, std::move(link));
+  return id;
+}
+
+void
+ReleaseLink(Context& aContext, Link& aLink)
+{
+  aLink.mSession = SessionId{};
+  aLink.mIdleSince = aContext.mNow;
+  Backend* const backend = Find(aContext.mState.mBackends, aLink.mServer);
+  if (backend == nullptr || !TakesNewWork(*backend, aContext.mNow)) {
+    DropLink(aContext, aLink.mId);
+    return;
+  }
+  aContext.mState.mTimers.ArmSooner(
+    TimerKind::Pool, backend->mId.mValue, aContext.mNow + kIdleLinkTime);
+  DispatchQueue(aContext, *backend);
+}
+
+void
+ForgetLink(Context& aContext, LinkId aLink)
+{
+  const Link* const link = Find(aContext.mState.mLinks, aLink);
+  if (link == nullptr) {
+    return;
+  }
+  if (Backend* const backend = Find(aContext.mState.mBackends, link->mServer)) {
+    if (backend->mControlLink == aLink) {
+      backend->mControlLink = LinkId{};
+    }
+    if (std::erase(backend->mLinks, aLink) > 0 && !link->mReady) {
+      --backend->mOpening;
+    }
+    for (const Exchange& exchange : link->mExchanges) {
+      backend->mRunning -= CountsAsRunning(exchange.mKind) ? 1 : 0;
+    }
+  }
+  aContext.mState.mLinks.erase(aLink);
+}
+
+void
+DropLink(Context& aContext, LinkId aLink)
+{
+  Emit(aContext, CloseLink{ aLink });
+  ForgetLink(aContext, aLink);
+}
+
+void
+SendRequest(Context& aContext,
+            Link& aLink,
+            BackendRequest aRequest,
+            ExchangeKind aKind)
+{
+  aLink.mExchanges.push_back({ aKind, aContext.mNow });
+  Backend* const backend = Find(aContext.mState.mBackends, aLink.mServer);
+  if (backend != nullptr && CountsAsRunning(aKind)) {
+    ++backend->mRunning;
+  }
+  Emit(aContext, SendOnLink{ aLink.mId, std::move(aRequest) });
+}
+
+void
+MaintainPool(Context& aContext, Backend& aBackend)
+{
+  const std::vector<LinkId> links = aBackend.mLinks;
+  for (const LinkId id : links) {
+    const Link* const link = Find(aContext.mState.mLinks, id);
+    if (link == nullptr) {
+      continue;
+    }
+    const bool isStuck =
+      !link->mReady && aContext.mNow - link->mOpenedAt >= kOpenTimeout;
+    const bool isIdle = link->mReady && !link->mSession &&
+                        link->mExchanges.empty() &&
+                        aContext.mNow - link->mIdleSince >= kIdleLinkTime;
+    if (isStuck) {
+      Log(aContext,
+          LogSeverity::Warning,
+          "backend server did not take a connection in time",
+          { { "server", aBackend.mEntry.mName } });
+      aBackend.mOpenAfter = aContext.mNow + kOpenRetryDelay;
+    }
+    if (isStuck || isIdle) {
+      DropLink(aContext, id);
+    }
+  }
+  if (!aBackend.mLinks.empty()) {
+    aContext.mState.mTimers.ArmSooner(
+      TimerKind::Pool, aBackend.mId.mValue, aContext.mNow + kOpenTimeout);
+  }
+  DispatchQueue(aContext, aBackend);
+}
+
+}
--- /dev/null
+++ b/Source/Backend/Pool.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Gateway/Context.h"
+
+namespace camphorstep::gateway {
+
+/// Puts a session's statement into a server's queue and starts it if there is
+/// room.
+void EnqueueAt(Context& aContext, Session& aSession, Backend& aBackend);
+
+/// Takes a session's statement out of the queue that it waits in, if any.
+void LeaveQueue(Context& aContext, Session& aSession);
+
+/// Starts what waits at a server as far as connections and limits allow.
+void DispatchQueue(Context& aContext, Backend& aBackend);
+
+/// Sends everything that waits at a server to find another one.
+void RerouteQueue(Context& aContext, Backend& aBackend);
+
+/// Opens a connection to a server.
+LinkId OpenLinkTo(Context& aContext, Backend& aBackend, bool aControl);
+
+/// Gives a connection back to the pool, or closes it if its server is to get
+/// no new work.
+void ReleaseLink(Context& aContext, Link& aLink);
+
+/// Closes a connection and forgets it.
+void DropLink(Context& aContext, LinkId aLink);
+
+/// Forgets a connection that is closed already; its server is told apart.
+void ForgetLink(Context& aContext, LinkId aLink);
+
+/// Sends a request and notes what its answer will be for.
+void SendRequest(Context& aContext,
+                 Link& aLink,
+                 BackendRequest aRequest,
+                 ExchangeKind aKind);
+
+/// Opens connections that wait for their time and closes idle ones.
+void MaintainPool(Context& aContext, Backend& aBackend);
+
+/// Whether a server may be given new work.
+bool TakesNewWork(const Backend& aBackend, Instant aNow);
+
+}
--- /dev/null
+++ b/Source/Backend/Preparation.cpp
@@ -0,0 +1,97 @@
+#include "Backend/Preparation.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include "Backend/Pool.h"
+#include "Common/Hash.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+constexpr int kResetEffort = 100;
+
+/// Whether a connection holds a value that the session does not.
+bool
+HoldsForeignValue(const Link& aLink, const Session& aSession)
+{
+  return std::any_of(
+    aLink.mValues.begin(), aLink.mValues.end(), [&](const auto& aValue) {
+      return !aSession.mValues.contains(aValue.first);
+    });
+}
+
+bool
+HasValue(const Link& aLink, const std::string& aName, const std::string& aValue)
+{
+  const auto it = aLink.mValues.find(aName);
+  return it != aLink.mValues.end() && it->second == aValue;
+}
+
+}
+
+int
+PreparationEffort(const Link& aLink, const Session& aSession)
+{
+  const bool mustReset = HoldsForeignValue(aLink, aSession);
+  int effort = mustReset ? kResetEffort : 0;
+  for (const auto& [name, value] : aSession.mValues) {
+    effort += !mustReset && HasValue(aLink, name, value) ? 0 : 1;
+  }
+  return effort;
+}
+
+void
+PrepareLink(Context& aContext,
+            Link& aLink,
+            const Session& aSession,
+            const Statement& aStatement)
+{
+  if (HoldsForeignValue(aLink, aSession)) {
+    aLink.mValues.clear();
+    aLink.mPrepared.clear();
+    BackendRequest request;
+    request.mVerb = BackendVerb::Reset;
+    SendRequest(aContext, aLink, request, ExchangeKind::Preparation);
+  }
+  for (const auto& [name, value] : aSession.mValues) {
+    if (HasValue(aLink, name, value)) {
+      continue;
+    }
+    aLink.mValues[name] = value;
+    BackendRequest request;
+    request.mVerb = BackendVerb::SetValue;
+    request.mName = name;
+    request.mArgument = value;
+    SendRequest(aContext, aLink, request, ExchangeKind::Preparation);
+  }
+  if (aStatement.mKind != StatementKind::Execute) {
+    return;
+  }
+  const auto it = aSession.mPrepared.find(aStatement.mName);
+  if (it == aSession.mPrepared.end() ||
+      !aLink.mPrepared.insert(it->second).second) {
+    return;
+  }
+  BackendRequest request;
+  request.mVerb = BackendVerb::Prepare;
+  request.mName = ServerSideName(it->second);
+  request.mArgument = it->second.mShape;
+  request.mWrites = it->second.mWrites;
+  SendRequest(aContext, aLink, request, ExchangeKind::Preparation);
+}
+
+std::string
+ServerSideName(const PreparedStatement& aPrepared)
+{
+  const std::uint64_t hash =
+    Hash64((aPrepared.mWrites ? "w" : "r") + aPrepared.mShape);
+  std::array<char, 20> buf{};
+  std::snprintf(
+    buf.data(), buf.size(), "p%016llx", static_cast<unsigned long long>(hash));
+  return buf.data();
+}
+
+}
--- /dev/null
+++ b/Source/Catalogue/Routing.cpp
@@ -0,0 +1,32 @@
+#include "Catalogue/Routing.h"
+
+namespace camphorstep::gateway {
+
+void
+ApplyRouting(Context& aContext, const RoutingVersion& aVersion)
+{
+  Catalogue& catalogue = aContext.mState.mCatalogue;
+  if (aVersion.mVersion <= catalogue.mRoutingVersion) {
+    return;
+  }
+  Log(aContext,
+      LogSeverity::Info,
+      "configuration in force",
+      { { "version", std::to_string(aVersion.mVersion) },
+        { "former_version", std::to_string(catalogue.mRoutingVersion) },
+        { "routes", std::to_string(aVersion.mRoutes.size()) } });
+  catalogue.mRoutingVersion = aVersion.mVersion;
+  catalogue.mTransactionIdleTimeout = aVersion.mTransactionIdleTimeout;
+  catalogue.mRoutes.clear();
+  for (const Route& route : aVersion.mRoutes) {
+    catalogue.mRoutes[route.mDatabase] = route;
+  }
+  for (const GroupRules& rules : aVersion.mGroups) {
+    Group& group = aContext.mState.mGroups[IdOf<GroupId>(rules.mName)];
+    group.mId = IdOf<GroupId>(rules.mName);
+    group.mName = rules.mName;
+    group.mRules = rules;
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Catalogue/Servers.cpp
@@ -0,0 +1,221 @@
+#include "Catalogue/Servers.h"
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+#include "Backend/Pool.h"
+#include "Gateway/Tuning.h"
+#include "Session/Execution.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+Group&
+GroupNamed(Context& aContext, const std::string& aName)
+{
+  Group& group = aContext.mState.mGroups[IdOf<GroupId>(aName)];
+  group.mId = IdOf<GroupId>(aName);
+  group.mName = aName;
+  return group;
+}
+
+void
+CloseAllLinks(Context& aContext, Backend& aBackend)
+{
+  std::vector<LinkId> links = aBackend.mLinks;
+  links.push_back(aBackend.mControlLink);
+  for (const LinkId id : links) {
+    const Link* const link = Find(aContext.mState.mLinks, id);
+    if (link == nullptr) {
+      continue;
+    }
+    const Link lost = *link;
+    DropLink(aContext, id);
+    HandleLostLink(aContext, lost);
+  }
+}
+
+void
+AddServer(Context& aContext, const ServerEntry& aEntry)
+{
+  Backend backend;
+  backend.mId = IdOf<ServerId>(aEntry.mName);
+  backend.mEntry = aEntry;
+  Group& group = GroupNamed(aContext, aEntry.mGroup);
+  backend.mGroup = group.mId;
+  group.mServers.push_back(backend.mId);
+  group.mCopies = std::max(group.mCopies, group.mServers.size());
+  Log(aContext,
+      LogSeverity::Info,
+      "backend server is listed",
+      { { "server", aEntry.mName },
+        { "group", aEntry.mGroup },
+        { "data_centre", aEntry.mDataCentre },
+        { "leaving", aEntry.mLeaving ? "yes" : "no" } });
+  aContext.mState.mBackends.emplace(backend.mId, std::move(backend));
+  aContext.mState.mTimers.ArmSooner(
+    TimerKind::SampleGroup, group.mId.mValue, aContext.mNow);
+}
+
+/// Closes idle connections to a server that gets no new work, and sends
+/// elsewhere what waits for it.
+void
+StopNewWork(Context& aContext, Backend& aBackend)
+{
+  const std::vector<LinkId> links = aBackend.mLinks;
+  for (const LinkId id : links) {
+    const Link* const link = Find(aContext.mState.mLinks, id);
+    if (link != nullptr && link->mReady && !link->mSession &&
+        link->mExchanges.empty()) {
+      DropLink(aContext, id);
+    }
+  }
+  RerouteQueue(aContext, aBackend);
+}
+
+void
+UpdateServer(Context& aContext, Backend& aBackend, const ServerEntry& aEntry)
+{
+  const bool isRestart = aBackend.mEntry.mStartedAt != aEntry.mStartedAt ||
+                         !(aBackend.mEntry.mAddress == aEntry.mAddress);
+  if (isRestart) {
+    Log(aContext,
+        LogSeverity::Info,
+        "backend server has started anew",
+        { { "server", aEntry.mName } });
+    CloseAllLinks(aContext, aBackend);
+    aBackend.mStatus.reset();
+    aBackend.mApplied = Position{};
+    aBackend.mLeavingSince.reset();
+  }
+  if (aBackend.mMissingSince) {
+    aBackend.mMissingSince.reset();
+    Log(aContext,
+        LogSeverity::Info,
+        "backend server is listed again",
+        { { "server", aEntry.mName } });
+  }
+  aBackend.mEntry = aEntry;
+}
+
+void
+NoteLeaving(Context& aContext, Backend& aBackend)
+{
+  if (!aBackend.mEntry.mLeaving || aBackend.mLeavingSince) {
+    return;
+  }
+  aBackend.mLeavingSince = aContext.mNow;
+  Log(aContext,
+      LogSeverity::Info,
+      "backend server is leaving",
+      { { "server", aBackend.mEntry.mName },
+        { "primary",
+          aBackend.mStatus && aBackend.mStatus->mPrimary ? "yes" : "no" } });
+  if (!TakesNewWork(aBackend, aContext.mNow)) {
+    StopNewWork(aContext, aBackend);
+  }
+}
+
+void
+ApplyEntry(Context& aContext, const ServerEntry& aEntry)
+{
+  const ServerId id = IdOf<ServerId>(aEntry.mName);
+  if (Backend* const backend = Find(aContext.mState.mBackends, id)) {
+    UpdateServer(aContext, *backend, aEntry);
+  } else {
+    AddServer(aContext, aEntry);
+  }
+  NoteLeaving(aContext, aContext.mState.mBackends.at(id));
+}
+
+void
+NoteMissing(Context& aContext, const std::string& aName)
+{
+  Backend* const backend =
+    Find(aContext.mState.mBackends, IdOf<ServerId>(aName));
+  if (backend == nullptr || backend->mMissingSince) {
+    return;
+  }
+  backend->mMissingSince = aContext.mNow;
+  Log(aContext,
+      LogSeverity::Info,
+      "backend server is not listed any more",
+      { { "server", aName } });
+}
+
+void
+ForgetServer(Context& aContext, ServerId aServer)
+{
+  Backend& backend = aContext.mState.mBackends.at(aServer);
+  Log(aContext,
+      LogSeverity::Info,
+      "backend server is gone",
+      { { "server", backend.mEntry.mName } });
+  if (Group* const group = Find(aContext.mState.mGroups, backend.mGroup)) {
+    std::erase(group->mServers, aServer);
+    if (group->mPrimary == aServer) {
+      group->mPrimary = ServerId{};
+    }
+  }
+  CloseAllLinks(aContext, backend);
+  RerouteQueue(aContext, backend);
+  aContext.mState.mTimers.Cancel(TimerKind::Pool, aServer.mValue);
+  aContext.mState.mBackends.erase(aServer);
+}
+
+}
+
+void
+ApplyServers(Context& aContext, const TableAnswer& aAnswer)
+{
+  std::set<std::string> listed;
+  for (const RowChange<ServerEntry>& change : aAnswer.mServers) {
+    if (change.mEntry) {
+      listed.insert(change.mKey);
+      ApplyEntry(aContext, *change.mEntry);
+    } else {
+      NoteMissing(aContext, change.mKey);
+    }
+  }
+  if (aAnswer.mWhole) {
+    std::vector<std::string> missing;
+    for (const auto& [id, backend] : aContext.mState.mBackends) {
+      if (!listed.contains(backend.mEntry.mName)) {
+        missing.push_back(backend.mEntry.mName);
+      }
+    }
+    for (const std::string& name : missing) {
+      NoteMissing(aContext, name);
+    }
+  }
+  ForgetMissingServers(aContext);
+}
+
+void
+RestartMissingGrace(Context& aContext)
+{
+  for (auto& [id, backend] : aContext.mState.mBackends) {
+    if (backend.mMissingSince) {
+      backend.mMissingSince = aContext.mNow;
+    }
+  }
+}
+
+void
+ForgetMissingServers(Context& aContext)
+{
+  std::vector<ServerId> gone;
+  for (const auto& [id, backend] : aContext.mState.mBackends) {
+    if (backend.mMissingSince &&
+        aContext.mNow - *backend.mMissingSince > kMissingEntryGrace) {
+      gone.push_back(id);
+    }
+  }
+  for (const ServerId id : gone) {
+    ForgetServer(aContext, id);
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Catalogue/Servers.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "Gateway/Context.h"
+
+namespace camphorstep::gateway {
+
+/// Takes the changes of backend servers' entries into account.
+void ApplyServers(Context& aContext, const TableAnswer& aAnswer);
+
+/// Gives servers whose entries lapsed while the store was away the time to
+/// write them again.
+void RestartMissingGrace(Context& aContext);
+
+/// Forgets servers whose entries have been missing for too long.
+void ForgetMissingServers(Context& aContext);
+
+}
--- /dev/null
+++ b/Source/Gateway/Context.cpp
@@ -0,0 +1,37 @@
+#include "Gateway/Context.h"
+
+#include <utility>
+
+namespace camphorstep::gateway {
+
+void
+Emit(Context& aContext, Effect aEffect)
+{
+  aContext.mEffects.push_back(std::move(aEffect));
+}
+
+void
+Log(Context& aContext,
+    LogSeverity aSeverity,
+    std::string_view aEvent,
+    std::vector<LogValue> aValues)
+{
+  Emit(aContext,
+       WriteLogRecord{ aSeverity, std::string(aEvent), std::move(aValues) });
+}
+
+std::string
+Milliseconds(Duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+std::string
+Describe(const Position& aPosition)
+{
+  return std::to_string(aPosition.mTerm) + "." +
+         std::to_string(aPosition.mIndex);
+}
+
+}
--- /dev/null
+++ b/Source/Gateway/Counters.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "Model/Profile.h"
+#include "Reducer/LatencyHistogram.h"
+
+namespace camphorstep::gateway {
+
+/// Counts of statements of one rank.
+struct StatementCounters
+{
+  std::uint64_t mServed = 0;
+  std::uint64_t mNotRun = 0;
+  std::uint64_t mUnknown = 0;
+  std::uint64_t mFailed = 0;
+  /// From arrival to answer, for statements that servers ran.
+  LatencyHistogram mLatency;
+};
+
+/// Monotonic counts that the shell exports as metrics.
+struct Counters
+{
+  std::array<StatementCounters, kRankCount> mRanks;
+  std::uint64_t mSessions = 0;
+  std::uint64_t mReplicaReads = 0;
+  std::uint64_t mPrimaryReads = 0;
+  std::uint64_t mRetries = 0;
+  std::uint64_t mLinksOpened = 0;
+  std::uint64_t mLinksLost = 0;
+  std::uint64_t mStatusRequests = 0;
+  std::uint64_t mPromotions = 0;
+  std::uint64_t mStoreCalls = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Gateway/Event.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "Gateway/BackendMessage.h"
+#include "Gateway/Ids.h"
+#include "Gateway/Statement.h"
+#include "Gateway/StoreRecord.h"
+
+namespace camphorstep::gateway {
+
+/// A caller opened a session for a database.
+struct SessionOpened
+{
+  SessionId mSession;
+  std::string mDatabase;
+};
+
+struct StatementReceived
+{
+  SessionId mSession;
+  Statement mStatement;
+};
+
+/// The caller ended its session or went away.
+struct SessionEnded
+{
+  SessionId mSession;
+};
+
+/// A backend server has taken a connection.
+struct LinkReady
+{
+  LinkId mLink;
+  std::optional<Position> mPosition;
+};
+
+/// A connection ended or could not be opened.
+struct LinkClosed
+{
+  LinkId mLink;
+  /// What the server said when it refused the connection; Ok if it said
+  /// nothing.
+  ResultCode mCode = ResultCode::Ok;
+  /// Whether the other side ended or refused the connection, rather than
+  /// staying silent.
+  bool mAnswered = false;
+};
+
+struct LinkReplied
+{
+  LinkId mLink;
+  BackendReply mReply;
+};
+
+/// A write to the store ended.
+struct StoreWritten
+{
+  CallId mCall;
+  CallOutcome mOutcome = CallOutcome::Unknown;
+  /// Ok: the version that the written rows have.
+  std::uint64_t mVersion = 0;
+};
+
+/// The platform answered a PromoteServer.
+struct PromoteAnswered
+{
+  CallId mCall;
+  CallOutcome mOutcome = CallOutcome::Unknown;
+};
+
+/// The process has been asked to stop.
+struct StopRequested
+{};
+
+/// A timer of the state is due, or may be.
+struct TimePassed
+{};
+
+using EventBody = std::variant<SessionOpened,
+                               StatementReceived,
+                               SessionEnded,
+                               LinkReady,
+                               LinkClosed,
+                               LinkReplied,
+                               TableAnswer,
+                               StoreWritten,
+                               PromoteAnswered,
+                               StopRequested,
+                               TimePassed>;
+
+/// Something that happened, and when. Times never fall from one event to the
+/// next.
+struct Event
+{
+  Instant mNow;
+  EventBody mBody;
+};
+
+}
--- /dev/null
+++ b/Source/Gateway/Step.cpp
@@ -0,0 +1,127 @@
+#include "Gateway/Step.h"
+
+#include "Backend/Links.h"
+#include "Backend/Pool.h"
+#include "Catalogue/Servers.h"
+#include "Catalogue/Tables.h"
+#include "Gateway/Context.h"
+#include "Gateway/Stopping.h"
+#include "Group/Evidence.h"
+#include "Group/Promoter.h"
+#include "Group/Takeover.h"
+#include "Session/Execution.h"
+#include "Session/Sessions.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+/// Hands events to the subsystems that they concern.
+struct EventHandler
+{
+  Context& mContext;
+
+  void operator()(const SessionOpened& aEvent) const
+  {
+    HandleSessionOpened(mContext, aEvent);
+  }
+  void operator()(const StatementReceived& aEvent) const
+  {
+    HandleStatementReceived(mContext, aEvent);
+  }
+  void operator()(const SessionEnded& aEvent) const
+  {
+    HandleSessionEnded(mContext, aEvent);
+  }
+  void operator()(const LinkReady& aEvent) const
+  {
+    HandleLinkReady(mContext, aEvent);
+  }
+  void operator()(const LinkClosed& aEvent) const
+  {
+    HandleLinkClosed(mContext, aEvent);
+  }
+  void operator()(const LinkReplied& aEvent) const
+  {
+    HandleLinkReplied(mContext, aEvent);
+  }
+  void operator()(const TableAnswer& aEvent) const
+  {
+    HandleTableAnswer(mContext, aEvent);
+  }
+  void operator()(const StoreWritten& aEvent) const
+  {
+    HandleStoreWritten(mContext, aEvent);
+  }
+  void operator()(const PromoteAnswered& aEvent) const
+  {
+    HandlePromoteAnswered(mContext, aEvent);
+  }
+  void operator()(const StopRequested&) const { BeginStop(mContext); }
+  void operator()(const TimePassed&) const {}
+};
+
+void
+HandleTimer(Context& aContext, TimerKind aKind, std::uint64_t aId)
+{
+  State& state = aContext.mState;
+  switch (aKind) {
+    case TimerKind::Statement:
+      HandleStatementTimer(aContext, SessionId{ aId });
+      break;
+    case TimerKind::Retry:
+      HandleRetryTimer(aContext, SessionId{ aId });
+      break;
+    case TimerKind::IdleTransaction:
+      EndIdleTransaction(aContext, SessionId{ aId });
+      break;
+    case TimerKind::SampleGroup:
+      if (Group* const group = Find(state.mGroups, GroupId{ aId })) {
+        SampleGroup(aContext, *group);
+      }
+      break;
+    case TimerKind::Pool:
+      if (Backend* const backend = Find(state.mBackends, ServerId{ aId })) {
+        MaintainPool(aContext, *backend);
+      }
+      break;
+    case TimerKind::PollTable:
+      PollTable(aContext, static_cast<Table>(aId));
+      break;
+    case TimerKind::RegisterHost:
+      RegisterHost(aContext);
+      break;
+    case TimerKind::PromoterLease:
+      MaintainPromoterLease(aContext);
+      break;
+    case TimerKind::Stop:
+      ContinueStop(aContext);
+      break;
+  }
+}
+
+}
+
+void
+Start(State& aState, Instant aNow)
+{
+  for (std::size_t n = 0; n < kTableCount; ++n) {
+    aState.mTimers.Arm(TimerKind::PollTable, n, aNow);
+  }
+  aState.mTimers.Arm(TimerKind::RegisterHost, 0, aNow);
+  aState.mTimers.Arm(TimerKind::PromoterLease, 0, aNow);
+}
+
+std::vector<Effect>
+Step(State& aState, const Event& aEvent)
+{
+  std::vector<Effect> effects;
+  Context context{ aState, aEvent.mNow, effects };
+  std::visit(EventHandler{ context }, aEvent.mBody);
+  while (const auto timer = aState.mTimers.TakeDue(aEvent.mNow)) {
+    HandleTimer(context, timer->first, timer->second);
+  }
+  return effects;
+}
+
+}
--- /dev/null
+++ b/Source/Gateway/Stopping.cpp
@@ -0,0 +1,144 @@
+#include "Gateway/Stopping.h"
+
+#include <vector>
+
+#include "Gateway/Readiness.h"
+#include "Gateway/Tuning.h"
+#include "Group/Promoter.h"
+#include "Session/Sessions.h"
+#include "Session/Transactions.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+constexpr Duration kStopLookInterval = 100ms;
+
+/// Whether a part of the time for the stop is over.
+bool
+HasPassed(const Context& aContext, int aPercent)
+{
+  const State& state = aContext.mState;
+  return state.mStop.mUnderway && aContext.mNow - state.mStop.mStartedAt >=
+                                    state.mSelf.mStopGrace * aPercent / 100;
+}
+
+std::vector<SessionId>
+AllSessions(const Context& aContext)
+{
+  std::vector<SessionId> ids;
+  for (const auto& [id, session] : aContext.mState.mSessions) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+void
+CloseNow(Context& aContext, SessionId aSession)
+{
+  Emit(aContext, CloseSession{ aSession });
+  HandleSessionEnded(aContext, SessionEnded{ aSession });
+}
+
+void
+EndOpenTransactions(Context& aContext)
+{
+  for (const SessionId id : AllSessions(aContext)) {
+    const Session* const session = Find(aContext.mState.mSessions, id);
+    if (session != nullptr && !session->mActive) {
+      CloseNow(aContext, id);
+    }
+  }
+}
+
+void
+Complete(Context& aContext)
+{
+  Stop& stop = aContext.mState.mStop;
+  if (stop.mComplete) {
+    return;
+  }
+  stop.mComplete = true;
+  Log(aContext,
+      LogSeverity::Info,
+      "planned stop is complete",
+      { { "sessions", std::to_string(aContext.mState.mSessions.size()) },
+        { "took_ms", Milliseconds(aContext.mNow - stop.mStartedAt) } });
+  Emit(aContext, StopComplete{});
+}
+
+}
+
+void
+BeginStop(Context& aContext)
+{
+  Stop& stop = aContext.mState.mStop;
+  if (stop.mUnderway) {
+    return;
+  }
+  stop.mUnderway = true;
+  stop.mStartedAt = aContext.mNow;
+  Log(aContext,
+      LogSeverity::Info,
+      "planned stop",
+      { { "sessions", std::to_string(aContext.mState.mSessions.size()) } });
+  UpdateReadiness(aContext);
+  MaintainPromoterLease(aContext);
+  stop.mRemoveCall = NewId<CallId>(aContext);
+  Emit(aContext,
+       RemoveHostEntry{ stop.mRemoveCall, aContext.mState.mSelf.mEntry.mName });
+  ContinueStop(aContext);
+}
+
+void
+ContinueStop(Context& aContext)
+{
+  if (!aContext.mState.mStop.mUnderway) {
+    return;
+  }
+  for (const SessionId id : AllSessions(aContext)) {
+    if (Session* const session = Find(aContext.mState.mSessions, id)) {
+      CloseIdleSessionAtStop(aContext, *session);
+    }
+  }
+  if (HasPassed(aContext, kStopTransactionPercent)) {
+    EndOpenTransactions(aContext);
+  }
+  if (HasPassed(aContext, kStopEndPercent)) {
+    Complete(aContext);
+  }
+  CompleteStopIfIdle(aContext);
+  aContext.mState.mTimers.Arm(
+    TimerKind::Stop, 0, aContext.mNow + kStopLookInterval);
+}
+
+void
+CloseIdleSessionAtStop(Context& aContext, Session& aSession)
+{
+  if (!aContext.mState.mStop.mUnderway || aSession.mActive ||
+      !aSession.mPipeline.empty() ||
+      aSession.mTransaction.mState != TransactionState::None) {
+    return;
+  }
+  // A session that has just been opened gets to send its first statement.
+  const bool isOld = aSession.mOpenedAt <= aContext.mState.mStop.mStartedAt;
+  if (isOld || aSession.mStatements > 0 || RefusesNewSessions(aContext)) {
+    CloseNow(aContext, aSession.mId);
+  }
+}
+
+void
+CompleteStopIfIdle(Context& aContext)
+{
+  if (aContext.mState.mSessions.empty() && RefusesNewSessions(aContext)) {
+    Complete(aContext);
+  }
+}
+
+bool
+RefusesNewSessions(const Context& aContext)
+{
+  return HasPassed(aContext, kStopNoticePercent);
+}
+
+}
--- /dev/null
+++ b/Source/Group/Evidence.cpp
@@ -0,0 +1,285 @@
+#include "Group/Evidence.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Backend/Pool.h"
+#include "Gateway/Tuning.h"
+#include "Group/Takeover.h"
+#include "Session/Routing.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+/// Whether a replica's status shows that it follows the group's primary and
+/// that nobody has paused it.
+bool
+SupportsPrimary(const Backend& aBackend, const Group& aGroup)
+{
+  return aBackend.mStatus && !aBackend.mStatus->mPrimary &&
+         aBackend.mStatus->mPausedBy == 0 &&
+         aBackend.mStatus->mTerm <= aGroup.mTerm;
+}
+
+void
+SetPrimary(Context& aContext, Group& aGroup, ServerId aServer)
+{
+  if (aGroup.mPrimary == aServer) {
+    return;
+  }
+  aGroup.mPrimary = aServer;
+  aGroup.mAheadSince.reset();
+  const Backend* const backend = Find(aContext.mState.mBackends, aServer);
+  Log(aContext,
+      LogSeverity::Info,
+      aServer ? "primary is known" : "primary is not known any more",
+      { { "group", aGroup.mName },
+        { "server", backend == nullptr ? "" : backend->mEntry.mName },
+        { "term", std::to_string(aGroup.mTerm) } });
+}
+
+/// Takes the newest status of one server into account.
+void
+UpdatePrimary(Context& aContext, Group& aGroup, const Backend& aBackend)
+{
+  const BackendStatus& status = *aBackend.mStatus;
+  if (status.mTerm > aGroup.mTerm) {
+    aGroup.mTerm = status.mTerm;
+    aGroup.mSamples.clear();
+    if (aGroup.mPrimary != aBackend.mId) {
+      SetPrimary(aContext, aGroup, ServerId{});
+    }
+  }
+  if (status.mPrimary && status.mTerm == aGroup.mTerm) {
+    SetPrimary(aContext, aGroup, aBackend.mId);
+  } else if (aGroup.mPrimary == aBackend.mId) {
+    SetPrimary(aContext, aGroup, ServerId{});
+  }
+}
+
+/// Keeps the primary's position if it was proved to lead when it was asked.
+void
+TakeSample(Context& aContext, Group& aGroup, const Backend& aPrimary)
+{
+  if (aPrimary.mStatusAskedAt >= EvidenceEnd(aContext, aGroup)) {
+    return;
+  }
+  if (!aGroup.mSamples.empty() &&
+      aGroup.mSamples.back().mAskedAt >= aPrimary.mStatusAskedAt) {
+    return;
+  }
+  aGroup.mSamples.push_back(
+    { aPrimary.mStatusAskedAt, aPrimary.mStatus->mReceived });
+  if (aGroup.mSamples.size() > kMaxSamples) {
+    aGroup.mSamples.pop_front();
+  }
+}
+
+/// Notes since when the primary has had writes that no replica has received.
+void
+TrackReplication(Context& aContext, Group& aGroup)
+{
+  const Backend* const primary =
+    Find(aContext.mState.mBackends, aGroup.mPrimary);
+  if (primary == nullptr || !primary->mStatus) {
+    aGroup.mAheadSince.reset();
+    return;
+  }
+  Position furthest;
+  for (const ServerId id : aGroup.mServers) {
+    const Backend* const backend = Find(aContext.mState.mBackends, id);
+    if (backend != nullptr && backend != primary && backend->mStatus) {
+      furthest = std::max(furthest, backend->mStatus->mReceived);
+    }
+  }
+  if (primary->mStatus->mReceived <= furthest ||
+      furthest > aGroup.mFurthestReplica) {
+    aGroup.mAheadSince.reset();
+  } else if (!aGroup.mAheadSince) {
+    aGroup.mAheadSince = aContext.mNow;
+  }
+  aGroup.mFurthestReplica = furthest;
+}
+
+/// Lets statements look for a server again that none could run before.
+void
+ReleaseHeld(Context& aContext, Group& aGroup)
+{
+  if (aGroup.mHeld.empty() || ProvenPrimary(aContext, aGroup) == nullptr) {
+    return;
+  }
+  const std::set<SessionId> held = std::exchange(aGroup.mHeld, {});
+  for (const SessionId id : held) {
+    Session* const session = Find(aContext.mState.mSessions, id);
+    if (session != nullptr && session->mActive &&
+        session->mActive->mStage == StatementStage::Held) {
+      RouteStatement(aContext, *session);
+    }
+  }
+}
+
+/// Replaces a control connection that does not answer.
+void
+ReplaceSilentControl(Context& aContext, Backend& aBackend)
+{
+  const Link* const link = Find(aContext.mState.mLinks, aBackend.mControlLink);
+  if (link == nullptr) {
+    return;
+  }
+  const Instant since =
+    link->mExchanges.empty() ? link->mOpenedAt : link->mExchanges[0].mSentAt;
+  const bool waits = !link->mReady || !link->mExchanges.empty();
+  if (!waits || aContext.mNow - since < kStatusTimeout) {
+    return;
+  }
+  Log(aContext,
+      LogSeverity::Info,
+      "control connection is silent; replacing it",
+      { { "server", aBackend.mEntry.mName },
+        { "silent_ms", Milliseconds(aContext.mNow - aBackend.mHeardAt) } });
+  DropLink(aContext, aBackend.mControlLink);
+}
+
+}
+
+Instant
+EvidenceEnd(const Context& aContext, const Group& aGroup)
+{
+  const Backend* const primary =
+    Find(aContext.mState.mBackends, aGroup.mPrimary);
+  if (primary == nullptr || !primary->mStatus || !primary->mStatus->mPrimary ||
+      primary->mStatus->mTerm != aGroup.mTerm) {
+    return Instant::min();
+  }
+  if (aGroup.mCopies <= 1) {
+    return primary->mStatusAskedAt + kLeaseTime;
+  }
+  Instant asked = Instant::min();
+  for (const ServerId id : aGroup.mServers) {
+    const Backend* const backend = Find(aContext.mState.mBackends, id);
+    if (backend != nullptr && SupportsPrimary(*backend, aGroup)) {
+      asked = std::max(asked, backend->mStatusAskedAt);
+    }
+  }
+  if (asked == Instant::min()) {
+    return asked;
+  }
+  return std::min(asked, primary->mStatusAskedAt) + kLeaseTime;
+}
+
+Backend*
+ProvenPrimary(Context& aContext, const Group& aGroup)
+{
+  if (aContext.mNow + kLeaseMargin >= EvidenceEnd(aContext, aGroup)) {
+    return nullptr;
+  }
+  return Find(aContext.mState.mBackends, aGroup.mPrimary);
+}
+
+bool
+IsControlFree(const Context& aContext, const Backend& aBackend)
+{
+  const Link* const link = Find(aContext.mState.mLinks, aBackend.mControlLink);
+  return link != nullptr && link->mReady && link->mExchanges.empty();
+}
+
+void
+SendControl(Context& aContext, Backend& aBackend, BackendVerb aVerb, Term aTerm)
+{
+  Link* const link = Find(aContext.mState.mLinks, aBackend.mControlLink);
+  if (link == nullptr) {
+    return;
+  }
+  BackendRequest request;
+  request.mVerb = aVerb;
+  request.mTerm = aTerm;
+  ++aContext.mState.mCounters.mStatusRequests;
+  SendRequest(aContext, *link, std::move(request), ExchangeKind::Status);
+}
+
+void
+SampleServer(Context& aContext, Backend& aBackend)
+{
+  ReplaceSilentControl(aContext, aBackend);
+  if (!aBackend.mControlLink) {
+    OpenLinkTo(aContext, aBackend, true);
+    return;
+  }
+  if (IsControlFree(aContext, aBackend)) {
+    SendControl(aContext, aBackend, BackendVerb::Status, 0);
+  }
+}
+
+void
+HandleStatusReply(Context& aContext,
+                  Backend& aBackend,
+                  const BackendReply& aReply,
+                  Instant aAskedAt)
+{
+  if (!aReply.mStatus) {
+    return;
+  }
+  aBackend.mStatus = aReply.mStatus;
+  aBackend.mStatusAskedAt = aAskedAt;
+  Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
+  if (group == nullptr) {
+    return;
+  }
+  UpdatePrimary(aContext, *group, aBackend);
+  if (group->mPrimary == aBackend.mId) {
+    TakeSample(aContext, *group, aBackend);
+  }
+  TrackReplication(aContext, *group);
+  ReleaseHeld(aContext, *group);
+  AdvanceTakeover(aContext, *group);
+}
+
+void
+SampleGroup(Context& aContext, Group& aGroup)
+{
+  for (const ServerId id : aGroup.mServers) {
+    if (Backend* const backend = Find(aContext.mState.mBackends, id)) {
+      SampleServer(aContext, *backend);
+    }
+  }
+  AdvanceTakeover(aContext, aGroup);
+  const bool isCalm = ProvenPrimary(aContext, aGroup) != nullptr &&
+                      aGroup.mTakeover.mPhase == TakeoverPhase::None;
+  aContext.mState.mTimers.ArmSooner(
+    TimerKind::SampleGroup,
+    aGroup.mId.mValue,
+    aContext.mNow + (isCalm ? kSampleInterval : kUrgentSampleInterval));
+}
+
+void
+RequestUrgentSample(Context& aContext, Group& aGroup)
+{
+  aContext.mState.mTimers.ArmSooner(TimerKind::SampleGroup,
+                                    aGroup.mId.mValue,
+                                    aContext.mNow + kUrgentSampleInterval);
+}
+
+void
+NoteLostLead(Context& aContext, Backend& aBackend)
+{
+  aBackend.mStatus.reset();
+  if (Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup)) {
+    if (group->mPrimary == aBackend.mId) {
+      SetPrimary(aContext, *group, ServerId{});
+    }
+    aContext.mState.mTimers.ArmSooner(
+      TimerKind::SampleGroup, group->mId.mValue, aContext.mNow);
+  }
+}
+
+void
+NoteLostConnection(Context& aContext, Backend& aBackend, bool aControl)
+{
+  Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
+  if (group != nullptr && (aControl || group->mPrimary == aBackend.mId)) {
+    RequestUrgentSample(aContext, *group);
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Group/Fencing.cpp
@@ -0,0 +1,185 @@
+#include "Group/Fencing.h"
+
+#include <algorithm>
+
+#include "Gateway/Tuning.h"
+#include "Group/Evidence.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+/// A paused server's status is asked for again after this time.
+constexpr Duration kRefreshInterval = 80ms;
+/// A server that was heard this recently has to be fenced as well.
+constexpr Duration kReachable = 500ms;
+
+/// Calls a function for each server of the group that is known.
+template<typename Function>
+void
+ForEachServer(Context& aContext, const Group& aGroup, Function aFunction)
+{
+  for (const ServerId id : aGroup.mServers) {
+    if (Backend* const backend = Find(aContext.mState.mBackends, id)) {
+      aFunction(*backend);
+    }
+  }
+}
+
+template<typename Predicate>
+std::size_t
+CountServers(const Context& aContext, const Group& aGroup, Predicate aPredicate)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aGroup.mServers.begin(), aGroup.mServers.end(), [&](ServerId aId) {
+      const Backend* const backend = Find(aContext.mState.mBackends, aId);
+      return backend != nullptr && aPredicate(*backend);
+    }));
+}
+
+bool
+IsFrozen(const Context& aContext, const Group& aGroup, const Backend& aBackend)
+{
+  return IsFreshlyKnown(aContext, aBackend) && !aBackend.mStatus->mPrimary &&
+         aBackend.mStatus->mPausedBy == aGroup.mTakeover.mFenceTerm;
+}
+
+/// Tells which of two paused servers should lead: the one that has received
+/// more, then one that stays, then one that is the same for all promoters.
+bool
+IsBetter(const Backend& aFirst, const Backend& aSecond)
+{
+  const Position first = aFirst.mStatus->mReceived;
+  const Position second = aSecond.mStatus->mReceived;
+  if (first != second) {
+    return first > second;
+  }
+  if (aFirst.mLeavingSince.has_value() != aSecond.mLeavingSince.has_value()) {
+    return !aFirst.mLeavingSince;
+  }
+  return aFirst.mId < aSecond.mId;
+}
+
+}
+
+bool
+IsFreshlyKnown(const Context& aContext, const Backend& aBackend)
+{
+  return aBackend.mStatus &&
+         aContext.mNow - aBackend.mStatusAskedAt <= kFenceFreshness;
+}
+
+std::size_t
+CountFreshlyKnown(const Context& aContext, const Group& aGroup)
+{
+  return CountServers(aContext, aGroup, [&](const Backend& aBackend) {
+    return IsFreshlyKnown(aContext, aBackend);
+  });
+}
+
+std::size_t
+CountPaused(const Context& aContext, const Group& aGroup)
+{
+  return CountServers(aContext, aGroup, [&](const Backend& aBackend) {
+    return IsFreshlyKnown(aContext, aBackend) &&
+           aBackend.mStatus->mPausedBy != 0;
+  });
+}
+
+void
+ContinueFencing(Context& aContext, Group& aGroup)
+{
+  const Term fence = aGroup.mTakeover.mFenceTerm;
+  ForEachServer(aContext, aGroup, [&](Backend& aBackend) {
+    if (!IsControlFree(aContext, aBackend) || !aBackend.mStatus) {
+      return;
+    }
+    const BackendStatus& status = *aBackend.mStatus;
+    if (status.mPrimary) {
+      SendControl(aContext, aBackend, BackendVerb::StepDown, fence);
+    } else if (status.mPausedBy != fence) {
+      SendControl(aContext, aBackend, BackendVerb::Pause, fence);
+    } else if (aContext.mNow - aBackend.mStatusAskedAt > kRefreshInterval) {
+      SendControl(aContext, aBackend, BackendVerb::Status, 0);
+    }
+  });
+}
+
+bool
+IsFenced(const Context& aContext, const Group& aGroup)
+{
+  const std::size_t frozen =
+    CountServers(aContext, aGroup, [&](const Backend& aBackend) {
+      return IsFrozen(aContext, aGroup, aBackend);
+    });
+  const std::size_t reachable =
+    CountServers(aContext, aGroup, [&](const Backend& aBackend) {
+      return aContext.mNow - aBackend.mHeardAt < kReachable;
+    });
+  return frozen + 1 >= aGroup.mCopies && frozen >= reachable;
+}
+
+const Backend*
+BestCandidate(const Context& aContext, const Group& aGroup)
+{
+  const ServerId old = aGroup.mTakeover.mOldPrimary;
+  const std::size_t replicas =
+    CountServers(aContext, aGroup, [&](const Backend& aBackend) {
+      return aBackend.mId != old && IsFrozen(aContext, aGroup, aBackend);
+    });
+  // Every acknowledged write is on a replica, so the old primary is needed
+  // only if a replica is missing.
+  const bool needsOld = replicas + 1 < aGroup.mCopies;
+  const Backend* best = nullptr;
+  for (const ServerId id : aGroup.mServers) {
+    const Backend* const backend = Find(aContext.mState.mBackends, id);
+    if (backend == nullptr || !IsFrozen(aContext, aGroup, *backend) ||
+        (id == old && !needsOld)) {
+      continue;
+    }
+    if (best == nullptr || IsBetter(*backend, *best)) {
+      best = backend;
+    }
+  }
+  return best;
+}
+
+bool
+EndPauses(Context& aContext, Group& aGroup)
+{
+  bool done = true;
+  ForEachServer(aContext, aGroup, [&](Backend& aBackend) {
+    if (aBackend.mId == aGroup.mPrimary || !aBackend.mStatus ||
+        aBackend.mStatus->mPausedBy == 0 ||
+        aContext.mNow - aBackend.mHeardAt > kReachable) {
+      return;
+    }
+    done = false;
+    if (IsControlFree(aContext, aBackend)) {
+      SendControl(aContext, aBackend, BackendVerb::Resume, 0);
+    }
+  });
+  return done;
+}
+
+void
+HealGroup(Context& aContext, Group& aGroup)
+{
+  if (!aGroup.mPrimary) {
+    return;
+  }
+  ForEachServer(aContext, aGroup, [&](Backend& aBackend) {
+    if (aBackend.mId == aGroup.mPrimary || !aBackend.mStatus ||
+        !IsControlFree(aContext, aBackend)) {
+      return;
+    }
+    const BackendStatus& status = *aBackend.mStatus;
+    if (status.mPrimary && status.mTerm < aGroup.mTerm) {
+      SendControl(aContext, aBackend, BackendVerb::StepDown, aGroup.mTerm);
+    } else if (status.mPausedBy != 0) {
+      SendControl(aContext, aBackend, BackendVerb::Resume, 0);
+    }
+  });
+}
+
+}
--- /dev/null
+++ b/Source/Group/Takeover.cpp
@@ -0,0 +1,295 @@
+#include "Group/Takeover.h"
+
+#include <algorithm>
+#include <array>
+
+#include "Common/NamedEnum.h"
+#include "Gateway/Tuning.h"
+#include "Group/Evidence.h"
+#include "Group/Fencing.h"
+#include "Group/Promoter.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+/// A candidate that does not lead after this time is given up.
+constexpr Duration kSettleTimeout = 3s;
+/// Openings that a server's machine refuses before the server counts as down.
+constexpr std::uint32_t kRefusalsOfDeadServer = 2;
+
+constexpr std::array kReasonNames{
+  EnumName<TakeoverReason>{ TakeoverReason::NoPrimary, "no server leads" },
+  EnumName<TakeoverReason>{ TakeoverReason::Silent, "primary is silent" },
+  EnumName<TakeoverReason>{ TakeoverReason::Leaving, "primary is leaving" },
+  EnumName<TakeoverReason>{ TakeoverReason::NotReplicating,
+                            "primary reaches no replica" },
+  EnumName<TakeoverReason>{ TakeoverReason::Interrupted,
+                            "another promoter left the replicas paused" },
+};
+
+bool
+IsDown(const Context& aContext, const Backend& aBackend)
+{
+  return aContext.mNow - aBackend.mHeardAt > kPrimarySilence ||
+         (aBackend.mRefusals >= kRefusalsOfDeadServer &&
+          !aBackend.mControlLink);
+}
+
+/// Whether some server other than the primary could lead for long.
+bool
+HasSuccessor(const Context& aContext, const Group& aGroup)
+{
+  return std::any_of(
+    aGroup.mServers.begin(), aGroup.mServers.end(), [&](ServerId aId) {
+      const Backend* const backend = Find(aContext.mState.mBackends, aId);
+      return backend != nullptr && aId != aGroup.mPrimary &&
+             !backend->mLeavingSince && IsFreshlyKnown(aContext, *backend);
+    });
+}
+
+std::optional<TakeoverReason>
+ReasonWithPrimary(const Context& aContext,
+                  const Group& aGroup,
+                  const Backend& aPrimary)
+{
+  if (IsDown(aContext, aPrimary)) {
+    return TakeoverReason::Silent;
+  }
+  if (aPrimary.mLeavingSince && HasSuccessor(aContext, aGroup)) {
+    return TakeoverReason::Leaving;
+  }
+  if (aGroup.mAheadSince &&
+      aContext.mNow - *aGroup.mAheadSince > kReplicationStall) {
+    return TakeoverReason::NotReplicating;
+  }
+  if (CountPaused(aContext, aGroup) + 1 >= aGroup.mCopies) {
+    return TakeoverReason::Interrupted;
+  }
+  return std::nullopt;
+}
+
+/// Tells why the primary of a group should be replaced now, if at all.
+std::optional<TakeoverReason>
+ReasonToReplace(Context& aContext, Group& aGroup)
+{
+  if (aGroup.mCopies < 2) {
+    return std::nullopt;
+  }
+  if (const Backend* const primary =
+        Find(aContext.mState.mBackends, aGroup.mPrimary)) {
+    aGroup.mNoPrimarySince.reset();
+    return ReasonWithPrimary(aContext, aGroup, *primary);
+  }
+  if (CountFreshlyKnown(aContext, aGroup) + 1 < aGroup.mCopies) {
+    aGroup.mNoPrimarySince.reset();
+    return std::nullopt;
+  }
+  if (!aGroup.mNoPrimarySince) {
+    aGroup.mNoPrimarySince = aContext.mNow;
+  }
+  if (aContext.mNow - *aGroup.mNoPrimarySince < kPrimarySilence) {
+    return std::nullopt;
+  }
+  return TakeoverReason::NoPrimary;
+}
+
+void
+SetPhase(Context& aContext, Group& aGroup, TakeoverPhase aPhase)
+{
+  aGroup.mTakeover.mPhase = aPhase;
+  RequestUrgentSample(aContext, aGroup);
+}
+
+void
+StartTakeover(Context& aContext, Group& aGroup, TakeoverReason aReason)
+{
+  const std::uint64_t token = aContext.mState.mPromoter.mLease.mToken;
+  Takeover& takeover = aGroup.mTakeover;
+  takeover = Takeover{};
+  takeover.mReason = aReason;
+  // Promoters that pause the same replica can tell their pauses apart.
+  takeover.mFenceTerm = aGroup.mTerm + token;
+  takeover.mOldTerm = aGroup.mTerm;
+  takeover.mOldPrimary = aGroup.mPrimary;
+  takeover.mStartedAt = aContext.mNow;
+  aGroup.mNoPrimarySince.reset();
+  aGroup.mAheadSince.reset();
+  Log(aContext,
+      LogSeverity::Warning,
+      "replacing the primary",
+      { { "group", aGroup.mName },
+        { "reason", std::string(NameIn(kReasonNames, aReason)) },
+        { "term", std::to_string(aGroup.mTerm) },
+        { "fencing_token", std::to_string(token) },
+        { "fence_term", std::to_string(takeover.mFenceTerm) } });
+  SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
+  ContinueFencing(aContext, aGroup);
+}
+
+void
+CallPromotion(Context& aContext, Group& aGroup, const Backend& aCandidate)
+{
+  Takeover& takeover = aGroup.mTakeover;
+  takeover.mCandidate = aCandidate.mId;
+  takeover.mCall = NewId<CallId>(aContext);
+  const PromoterLease& lease = aContext.mState.mPromoter.mLease;
+  Log(aContext,
+      LogSeverity::Warning,
+      "asking the platform to promote a server",
+      { { "group", aGroup.mName },
+        { "server", aCandidate.mEntry.mName },
+        { "received", Describe(aCandidate.mStatus->mReceived) },
+        { "fencing_token", std::to_string(lease.mToken) },
+        { "since_start_ms",
+          Milliseconds(aContext.mNow - takeover.mStartedAt) } });
+  Emit(aContext,
+       PromoteServer{ takeover.mCall,
+                      aGroup.mName,
+                      aCandidate.mEntry.mName,
+                      lease.mHolder,
+                      lease.mToken });
+  SetPhase(aContext, aGroup, TakeoverPhase::Promoting);
+}
+
+void
+AdvanceFencing(Context& aContext, Group& aGroup)
+{
+  ContinueFencing(aContext, aGroup);
+  if (!IsFenced(aContext, aGroup)) {
+    return;
+  }
+  aGroup.mTakeover.mFencedAt = aContext.mNow;
+  SetPhase(aContext, aGroup, TakeoverPhase::Waiting);
+}
+
+void
+AdvanceWaiting(Context& aContext, Group& aGroup)
+{
+  ContinueFencing(aContext, aGroup);
+  Takeover& takeover = aGroup.mTakeover;
+  if (aContext.mNow < takeover.mFencedAt + kLeaseTime) {
+    return;
+  }
+  if (!IsFenced(aContext, aGroup)) {
+    // A pause that was lost in between may have let writes through.
+    if (aContext.mNow > takeover.mFencedAt + kLeaseTime + kFenceFreshness) {
+      SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
+    }
+    return;
+  }
+  if (const Backend* const candidate = BestCandidate(aContext, aGroup)) {
+    CallPromotion(aContext, aGroup, *candidate);
+  }
+}
+
+void
+AdvancePromoting(Context& aContext, Group& aGroup)
+{
+  Takeover& takeover = aGroup.mTakeover;
+  if (takeover.mCall || aContext.mNow < takeover.mCallAfter) {
+    return;
+  }
+  const Backend* const candidate =
+    Find(aContext.mState.mBackends, takeover.mCandidate);
+  if (candidate == nullptr || !candidate->mStatus) {
+    SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
+    return;
+  }
+  CallPromotion(aContext, aGroup, *candidate);
+}
+
+void
+AdvanceSettling(Context& aContext, Group& aGroup)
+{
+  Takeover& takeover = aGroup.mTakeover;
+  if (aGroup.mPrimary == takeover.mCandidate &&
+      aGroup.mTerm > takeover.mOldTerm) {
+    if (!EndPauses(aContext, aGroup)) {
+      return;
+    }
+    ++aContext.mState.mCounters.mPromotions;
+    Log(aContext,
+        LogSeverity::Info,
+        "primary is replaced",
+        { { "group", aGroup.mName },
+          { "term", std::to_string(aGroup.mTerm) },
+          { "took_ms", Milliseconds(aContext.mNow - takeover.mStartedAt) } });
+    takeover = Takeover{};
+    return;
+  }
+  if (aContext.mNow > takeover.mCallAfter + kSettleTimeout) {
+    SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
+  }
+}
+
+}
+
+void
+AdvanceTakeover(Context& aContext, Group& aGroup)
+{
+  Takeover& takeover = aGroup.mTakeover;
+  if (!HoldsPromoterLease(aContext)) {
+    if (takeover.mPhase != TakeoverPhase::None) {
+      Log(aContext,
+          LogSeverity::Warning,
+          "change of primary left to the next promoter",
+          { { "group", aGroup.mName } });
+      takeover = Takeover{};
+    }
+    return;
+  }
+  switch (takeover.mPhase) {
+    case TakeoverPhase::None:
+      if (const auto reason = ReasonToReplace(aContext, aGroup)) {
+        StartTakeover(aContext, aGroup, *reason);
+      } else {
+        HealGroup(aContext, aGroup);
+      }
+      break;
+    case TakeoverPhase::Fencing:
+      AdvanceFencing(aContext, aGroup);
+      break;
+    case TakeoverPhase::Waiting:
+      AdvanceWaiting(aContext, aGroup);
+      break;
+    case TakeoverPhase::Promoting:
+      AdvancePromoting(aContext, aGroup);
+      break;
+    case TakeoverPhase::Settling:
+      AdvanceSettling(aContext, aGroup);
+      break;
+  }
+}
+
+void
+HandlePromoteAnswered(Context& aContext, const PromoteAnswered& aEvent)
+{
+  for (auto& [id, group] : aContext.mState.mGroups) {
+    Takeover& takeover = group.mTakeover;
+    if (takeover.mPhase != TakeoverPhase::Promoting ||
+        takeover.mCall != aEvent.mCall) {
+      continue;
+    }
+    takeover.mCall = CallId{};
+    takeover.mCallAfter = aContext.mNow + kPromoteRetryDelay;
+    if (aEvent.mOutcome == CallOutcome::Ok) {
+      takeover.mCallAfter = aContext.mNow;
+      SetPhase(aContext, group, TakeoverPhase::Settling);
+    } else {
+      Log(aContext,
+          LogSeverity::Warning,
+          "the platform did not promote the server",
+          { { "group", group.mName },
+            { "outcome",
+              aEvent.mOutcome == CallOutcome::Conflict ? "server is not running"
+                                                       : "no clear answer" } });
+      if (aEvent.mOutcome == CallOutcome::Conflict) {
+        SetPhase(aContext, group, TakeoverPhase::Fencing);
+      }
+    }
+    RequestUrgentSample(aContext, group);
+  }
+}
+
+}
--- a/Source/Model/ResultCode.h
+++ b/Source/Model/ResultCode.h
@@ -35,11 +35,13 @@
   UnknownKey = 111,
   UnknownPath = 112,
   WrongMethod = 113,
+  UnknownStatement = 114,
 
   Overloaded = 201,
   DeadlineExceeded = 202,
   TransactionLimit = 203,
   Stopping = 204,
+  TooManyConnections = 205,
 
   HistoryLost = 301,
   ReplicaBehind = 302,
@@ -51,6 +53,7 @@
   TransactionAborted = 405,
   NotReplicated = 406,
   PrimaryChanged = 407,
+  WrongServer = 408,
 
   VersionConflict = 501,
   InvalidProfile = 502,
--- /dev/null
+++ b/Source/Session/Answers.cpp
@@ -0,0 +1,173 @@
+#include "Session/Answers.h"
+
+#include <algorithm>
+#include <array>
+
+#include "Gateway/Tuning.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+/// One in so many plain successes is logged.
+constexpr std::uint64_t kSuccessLogInterval = 128;
+constexpr std::array kPromises{
+  ResultCode::Overloaded,         ResultCode::TransactionAborted,
+  ResultCode::ReplicaBehind,      ResultCode::PrimaryChanged,
+  ResultCode::NoPrimary,          ResultCode::Stopping,
+  ResultCode::TooManyConnections,
+};
+
+Rank
+RankOf(const ActiveStatement& aActive)
+{
+  return kRanks[std::min<std::size_t>(aActive.mPlace.mUrgency, kRankCount - 1)];
+}
+
+/// What decided about a statement, for the log.
+std::vector<LogValue>
+Describe(const Context& aContext,
+         const Session& aSession,
+         const ActiveStatement& aActive)
+{
+  const Backend* const server =
+    Find(aContext.mState.mBackends, aActive.mServer);
+  return {
+    { "request", aActive.mStatement.mId },
+    { "session", std::to_string(aSession.mId.mValue) },
+    { "database", aSession.mDatabase },
+    { "urgency", std::to_string(aActive.mPlace.mUrgency) },
+    { "server", server == nullptr ? "" : server->mEntry.mName },
+    { "attempts", std::to_string(aActive.mAttempts) },
+    { "age_ms", Milliseconds(aContext.mNow - aActive.mArrivedAt) },
+    { "configuration",
+      std::to_string(aContext.mState.mCatalogue.mRoutingVersion) },
+  };
+}
+
+void
+EndActive(Context& aContext, Session& aSession)
+{
+  aContext.mState.mTimers.Cancel(TimerKind::Statement, aSession.mId.mValue);
+  aContext.mState.mTimers.Cancel(TimerKind::Retry, aSession.mId.mValue);
+  aSession.mActive.reset();
+}
+
+void
+CountOutcome(StatementCounters& aCounters, ResultCode aCode)
+{
+  if (aCode == ResultCode::ConnectionLost ||
+      aCode == ResultCode::DeadlineExceeded) {
+    ++aCounters.mUnknown;
+  } else if (PromisesNotKept(aCode)) {
+    ++aCounters.mNotRun;
+  } else {
+    ++aCounters.mFailed;
+  }
+}
+
+}
+
+bool
+PromisesNotKept(ResultCode aCode)
+{
+  return std::find(kPromises.begin(), kPromises.end(), aCode) !=
+         kPromises.end();
+}
+
+void
+AnswerOk(Context& aContext, Session& aSession)
+{
+  AnswerCaller answer;
+  answer.mSession = aSession.mId;
+  answer.mState = aSession.mTransaction.mState;
+  Emit(aContext, answer);
+}
+
+void
+AnswerError(Context& aContext,
+            Session& aSession,
+            const std::string& aRequest,
+            ResultCode aCode,
+            const std::string& aText)
+{
+  Log(aContext,
+      LogSeverity::Info,
+      "statement refused",
+      { { "request", aRequest },
+        { "session", std::to_string(aSession.mId.mValue) },
+        { "database", aSession.mDatabase },
+        { "code", std::string(NameOf(aCode)) },
+        { "reason", aText } });
+  AnswerCaller answer;
+  answer.mSession = aSession.mId;
+  answer.mCode = aCode;
+  answer.mErrorText = aText;
+  answer.mState = aSession.mTransaction.mState;
+  Emit(aContext, answer);
+}
+
+void
+CompleteStatement(Context& aContext,
+                  Session& aSession,
+                  const BackendReply& aReply)
+{
+  const ActiveStatement& active = *aSession.mActive;
+  StatementCounters& counters =
+    aContext.mState.mCounters.mRanks[IndexOf(RankOf(active))];
+  if (aReply.mCode == ResultCode::Ok) {
+    ++counters.mServed;
+    counters.mLatency.Observe(aContext.mNow - active.mArrivedAt);
+    if (counters.mServed % kSuccessLogInterval == 0) {
+      Log(aContext,
+          LogSeverity::Info,
+          "statement served",
+          Describe(aContext, aSession, active));
+    }
+  } else {
+    CountOutcome(counters, aReply.mCode);
+    auto values = Describe(aContext, aSession, active);
+    values.push_back({ "code", std::string(NameOf(aReply.mCode)) });
+    Log(aContext,
+        LogSeverity::Warning,
+        "statement failed at the backend server",
+        std::move(values));
+  }
+  AnswerCaller answer;
+  answer.mSession = aSession.mId;
+  answer.mCode = aReply.mCode;
+  answer.mRows = aReply.mRows;
+  answer.mSignature = aReply.mSignature;
+  answer.mErrorText = aReply.mErrorText;
+  answer.mState = aSession.mTransaction.mState;
+  answer.mPosition = aReply.mPosition;
+  EndActive(aContext, aSession);
+  Emit(aContext, std::move(answer));
+}
+
+void
+FailStatement(Context& aContext,
+              Session& aSession,
+              ResultCode aCode,
+              const std::string& aReason)
+{
+  const ActiveStatement& active = *aSession.mActive;
+  CountOutcome(aContext.mState.mCounters.mRanks[IndexOf(RankOf(active))],
+               aCode);
+  auto values = Describe(aContext, aSession, active);
+  values.push_back({ "code", std::string(NameOf(aCode)) });
+  values.push_back({ "reason", aReason });
+  Log(aContext, LogSeverity::Warning, "statement failed", std::move(values));
+  AnswerCaller answer;
+  answer.mSession = aSession.mId;
+  answer.mCode = aCode;
+  answer.mErrorText =
+    PromisesNotKept(aCode)
+      ? aReason + "; retry after " + Milliseconds(kRetryHint) + " ms"
+      : aReason;
+  answer.mState = aSession.mTransaction.mState;
+  EndActive(aContext, aSession);
+  Emit(aContext, std::move(answer));
+}
+
+}
--- /dev/null
+++ b/Source/Session/Routing.cpp
@@ -0,0 +1,210 @@
+#include "Session/Routing.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "Backend/Pool.h"
+#include "Gateway/Tuning.h"
+#include "Group/Evidence.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+/// Costs of a replica, in the unit of time that a request loses there.
+constexpr Duration kOtherDataCentreCost = 3ms;
+constexpr Duration kOtherRegionCost = 24ms;
+constexpr Duration kBusySlotCost = 6ms;
+/// A server that has just failed the statement is taken only if no other can.
+constexpr Duration kAvoidedCost = 500ms;
+constexpr Duration kSilentCost = 300ms;
+/// A replica is expected to have what the primary had longer ago than its
+/// lag and this.
+constexpr Duration kApplyMargin = 40ms;
+
+Group*
+GroupOf(Context& aContext, const Session& aSession)
+{
+  const Route* const route = RouteOf(aContext, aSession);
+  return route == nullptr
+           ? nullptr
+           : Find(aContext.mState.mGroups, IdOf<GroupId>(route->mGroup));
+}
+
+Duration
+DistanceCost(const Context& aContext, const Backend& aBackend)
+{
+  const Identity& self = aContext.mState.mSelf;
+  const std::string& here = self.mEntry.mDataCentre;
+  const std::string& there = aBackend.mEntry.mDataCentre;
+  if (here == there) {
+    return Duration{ 0 };
+  }
+  const auto* const ours = Find(self.mRegions, here);
+  const auto* const theirs = Find(self.mRegions, there);
+  const bool sameRegion =
+    ours != nullptr && theirs != nullptr && *ours == *theirs;
+  return sameRegion ? kOtherDataCentreCost : kOtherRegionCost;
+}
+
+bool
+IsLikelyFresh(const Context& aContext,
+              const Backend& aBackend,
+              const RequiredPosition& aRequired)
+{
+  if (aBackend.mApplied >= aRequired.mPosition) {
+    return true;
+  }
+  if (aContext.mNow < aBackend.mBehindUntil) {
+    return false;
+  }
+  const Duration lag =
+    aBackend.mStatus ? aBackend.mStatus->mLag : Duration{ 0 };
+  return aContext.mNow - aRequired.mSince > lag + kApplyMargin;
+}
+
+Duration
+CostOf(const Context& aContext,
+       const Backend& aBackend,
+       const ActiveStatement& aActive)
+{
+  const auto waiting =
+    aBackend.mRunning + static_cast<std::uint32_t>(aBackend.mQueue.size());
+  const std::uint32_t reported =
+    aBackend.mStatus ? aBackend.mStatus->mBusySlots : 0;
+  Duration cost = DistanceCost(aContext, aBackend) +
+                  kBusySlotCost * std::max(waiting, reported);
+  if (aActive.mAvoid == aBackend.mId) {
+    cost += kAvoidedCost;
+  }
+  if (aContext.mNow - aBackend.mHeardAt > kStatusTimeout + kSampleInterval) {
+    cost += kSilentCost;
+  }
+  return cost;
+}
+
+/// Chooses the replica that costs the least, or nullptr if none is fresh.
+Backend*
+ChooseReplica(Context& aContext,
+              const Session& aSession,
+              const Group& aGroup,
+              const RequiredPosition& aRequired)
+{
+  Backend* best = nullptr;
+  Duration bestCost = Duration::max();
+  for (const ServerId id : aGroup.mServers) {
+    Backend* const backend = Find(aContext.mState.mBackends, id);
+    if (backend == nullptr || id == aGroup.mPrimary ||
+        !TakesNewWork(*backend, aContext.mNow) || !backend->mStatus ||
+        !IsLikelyFresh(aContext, *backend, aRequired)) {
+      continue;
+    }
+    const Duration cost = CostOf(aContext, *backend, *aSession.mActive);
+    if (cost < bestCost) {
+      best = backend;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+Backend*
+ChooseServer(Context& aContext, const Session& aSession, Group& aGroup)
+{
+  if (!NeedsPrimary(aContext, aSession)) {
+    if (const auto required = RequiredOfReplica(aContext, aSession)) {
+      if (Backend* const replica =
+            ChooseReplica(aContext, aSession, aGroup, *required)) {
+        return replica;
+      }
+    }
+  }
+  Backend* const primary = ProvenPrimary(aContext, aGroup);
+  return primary != nullptr && TakesNewWork(*primary, aContext.mNow) ? primary
+                                                                     : nullptr;
+}
+
+}
+
+void
+RouteStatement(Context& aContext, Session& aSession)
+{
+  aSession.mActive->mStage = StatementStage::Held;
+  Group* const group = GroupOf(aContext, aSession);
+  if (group == nullptr) {
+    return;
+  }
+  if (Backend* const server = ChooseServer(aContext, aSession, *group)) {
+    EnqueueAt(aContext, aSession, *server);
+    return;
+  }
+  group->mHeld.insert(aSession.mId);
+  RequestUrgentSample(aContext, *group);
+}
+
+const Route*
+RouteOf(const Context& aContext, const Session& aSession)
+{
+  const Transaction& transaction = aSession.mTransaction;
+  if (transaction.mState != TransactionState::None && transaction.mRoute) {
+    return &*transaction.mRoute;
+  }
+  return Find(aContext.mState.mCatalogue.mRoutes, aSession.mDatabase);
+}
+
+bool
+Writes(const Session& aSession, const Statement& aStatement)
+{
+  if (aStatement.mKind != StatementKind::Execute) {
+    return aStatement.mKind == StatementKind::Write;
+  }
+  const PreparedStatement* const prepared =
+    Find(aSession.mPrepared, aStatement.mName);
+  return prepared != nullptr && prepared->mWrites;
+}
+
+bool
+NeedsPrimary(const Context& aContext, const Session& aSession)
+{
+  const Route* const route = RouteOf(aContext, aSession);
+  if (route == nullptr || route->mFreshness == Freshness::Primary) {
+    return true;
+  }
+  const Transaction& transaction = aSession.mTransaction;
+  if (transaction.mState == TransactionState::Open) {
+    return !transaction.mReadOnly;
+  }
+  return Writes(aSession, aSession.mActive->mStatement);
+}
+
+std::optional<RequiredPosition>
+RequiredOfReplica(const Context& aContext, const Session& aSession)
+{
+  const Route* const route = RouteOf(aContext, aSession);
+  if (route == nullptr) {
+    return std::nullopt;
+  }
+  const Group* const group =
+    Find(aContext.mState.mGroups, IdOf<GroupId>(route->mGroup));
+  if (group == nullptr) {
+    return std::nullopt;
+  }
+  const Instant oldest = aContext.mNow - route->mMaxAge + kAgeMargin;
+  const auto it = std::find_if(group->mSamples.begin(),
+                               group->mSamples.end(),
+                               [oldest](const PositionSample& aSample) {
+                                 return aSample.mAskedAt >= oldest;
+                               });
+  if (it == group->mSamples.end()) {
+    return std::nullopt;
+  }
+  RequiredPosition required{ it->mPosition, it->mAskedAt };
+  if (route->mFreshness == Freshness::ReadYourWrites &&
+      aSession.mCommitGroup == route->mGroup &&
+      aSession.mLastCommit.mPosition > required.mPosition) {
+    required = { aSession.mLastCommit.mPosition, aSession.mLastCommit.mSince };
+  }
+  return required;
+}
+
+}
--- /dev/null
+++ b/Source/Session/Sessions.cpp
@@ -0,0 +1,278 @@
+#include "Session/Sessions.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Backend/Pool.h"
+#include "Gateway/Stopping.h"
+#include "Gateway/Tuning.h"
+#include "Session/Answers.h"
+#include "Session/Execution.h"
+#include "Session/Routing.h"
+#include "Session/Transactions.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+/// The part of its target after which a statement that no server has been
+/// offered is refused, so that the caller learns early that it must come back.
+constexpr int kPatiencePercent = 24;
+/// More than a few statements sent ahead are no use of the protocol.
+constexpr std::size_t kMaxPipeline = 64;
+
+/// Answers what only concerns the session itself. Returns false for what a
+/// server has to run.
+bool
+AnswerLocally(Context& aContext, Session& aSession, const Statement& aStatement)
+{
+  switch (aStatement.mKind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+      BeginTransaction(
+        aContext, aSession, aStatement.mKind == StatementKind::BeginReadOnly);
+      return true;
+    case StatementKind::Rollback:
+      RollbackTransaction(aContext, aSession);
+      AnswerOk(aContext, aSession);
+      return true;
+    case StatementKind::SetValue:
+      aSession.mValues[aStatement.mName] = aStatement.mArgument;
+      AnswerOk(aContext, aSession);
+      return true;
+    case StatementKind::Prepare:
+      aSession.mPrepared[aStatement.mName] = { aStatement.mWrites,
+                                               aStatement.mArgument };
+      AnswerOk(aContext, aSession);
+      return true;
+    case StatementKind::Deallocate:
+      aSession.mPrepared.erase(aStatement.mName);
+      AnswerOk(aContext, aSession);
+      return true;
+    case StatementKind::Malformed:
+      AnswerError(aContext,
+                  aSession,
+                  aStatement.mId,
+                  ResultCode::MalformedRequest,
+                  "the statement cannot be read");
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// Answers statements of a transaction that has failed, and a commit without
+/// a transaction. Returns false if the statement may go on.
+bool
+AnswerForState(Context& aContext,
+               Session& aSession,
+               const Statement& aStatement)
+{
+  Transaction& transaction = aSession.mTransaction;
+  if (aStatement.mKind == StatementKind::Rollback) {
+    return false;
+  }
+  if (transaction.mState != TransactionState::Failed) {
+    const bool isCommit = aStatement.mKind == StatementKind::Commit;
+    if (!isCommit || transaction.mState == TransactionState::Open) {
+      return false;
+    }
+    AnswerError(aContext,
+                aSession,
+                aStatement.mId,
+                ResultCode::MalformedRequest,
+                "no transaction is open");
+    return true;
+  }
+  if (aStatement.mKind == StatementKind::Commit) {
+    transaction = Transaction{};
+    AnswerError(aContext,
+                aSession,
+                aStatement.mId,
+                ResultCode::TransactionAborted,
+                "the transaction was rolled back");
+    return true;
+  }
+  const bool isNews = std::exchange(transaction.mAbortUntold, false);
+  AnswerError(aContext,
+              aSession,
+              aStatement.mId,
+              isNews ? ResultCode::TransactionAborted
+                     : ResultCode::MalformedRequest,
+              "the transaction was rolled back");
+  return true;
+}
+
+/// Has a server run a statement.
+void
+ActivateStatement(Context& aContext,
+                  Session& aSession,
+                  const Statement& aStatement)
+{
+  const Route* const route = RouteOf(aContext, aSession);
+  if (route == nullptr) {
+    FailTransaction(aContext, aSession);
+    AnswerError(aContext,
+                aSession,
+                aStatement.mId,
+                ResultCode::UnknownDatabase,
+                "no route has that name");
+    return;
+  }
+  if (aStatement.mKind == StatementKind::Execute &&
+      !aSession.mPrepared.contains(aStatement.mName)) {
+    FailTransaction(aContext, aSession);
+    AnswerError(aContext,
+                aSession,
+                aStatement.mId,
+                ResultCode::UnknownStatement,
+                "no statement is prepared under that name");
+    return;
+  }
+  ActiveStatement active;
+  active.mStatement = aStatement;
+  active.mArrivedAt = aContext.mNow;
+  active.mDeadline = aContext.mNow + route->mStatementTimeout;
+  active.mPatienceEnd = aContext.mNow + route->mTarget * kPatiencePercent / 100;
+  active.mPlace = { route->mUrgency, ++aContext.mState.mLastId };
+  aSession.mActive = std::move(active);
+  aContext.mState.mTimers.Arm(
+    TimerKind::Statement,
+    aSession.mId.mValue,
+    std::min(aSession.mActive->mPatienceEnd, aSession.mActive->mDeadline));
+  RunActiveStatement(aContext, aSession);
+}
+
+void
+StartStatement(Context& aContext,
+               Session& aSession,
+               const Statement& aStatement)
+{
+  ++aSession.mStatements;
+  aContext.mState.mTimers.Cancel(TimerKind::IdleTransaction,
+                                 aSession.mId.mValue);
+  if (AnswerForState(aContext, aSession, aStatement) ||
+      AnswerLocally(aContext, aSession, aStatement)) {
+    return;
+  }
+  ActivateStatement(aContext, aSession, aStatement);
+}
+
+}
+
+void
+HandleSessionOpened(Context& aContext, const SessionOpened& aEvent)
+{
+  const Catalogue& catalogue = aContext.mState.mCatalogue;
+  if (RefusesNewSessions(aContext)) {
+    Emit(aContext,
+         RefuseCaller{
+           aEvent.mSession, ResultCode::Stopping, "the host is stopping" });
+    return;
+  }
+  if (catalogue.mRoutingVersion == 0) {
+    Emit(aContext,
+         RefuseCaller{ aEvent.mSession,
+                       ResultCode::NoConfiguration,
+                       "no configuration is known yet" });
+    return;
+  }
+  if (!catalogue.mRoutes.contains(aEvent.mDatabase)) {
+    Log(aContext,
+        LogSeverity::Info,
+        "session refused: no route has that name",
+        { { "database", aEvent.mDatabase },
+          { "configuration", std::to_string(catalogue.mRoutingVersion) } });
+    Emit(aContext,
+         RefuseCaller{ aEvent.mSession,
+                       ResultCode::UnknownDatabase,
+                       "no route has that name" });
+    return;
+  }
+  Session session;
+  session.mId = aEvent.mSession;
+  session.mOpenedAt = aContext.mNow;
+  session.mDatabase = aEvent.mDatabase;
+  aContext.mState.mSessions.emplace(session.mId, std::move(session));
+  ++aContext.mState.mCounters.mSessions;
+  Emit(aContext, WelcomeCaller{ aEvent.mSession });
+}
+
+void
+HandleStatementReceived(Context& aContext, const StatementReceived& aEvent)
+{
+  Session* const session = Find(aContext.mState.mSessions, aEvent.mSession);
+  if (session == nullptr) {
+    return;
+  }
+  if (session->mPipeline.size() >= kMaxPipeline) {
+    Log(aContext,
+        LogSeverity::Warning,
+        "caller sent too many statements ahead; closing its session",
+        { { "request", aEvent.mStatement.mId } });
+    Emit(aContext, CloseSession{ aEvent.mSession });
+    HandleSessionEnded(aContext, SessionEnded{ aEvent.mSession });
+    return;
+  }
+  session->mPipeline.push_back(aEvent.mStatement);
+  ContinueSession(aContext, aEvent.mSession);
+}
+
+void
+ContinueSession(Context& aContext, SessionId aSession)
+{
+  Session* session = Find(aContext.mState.mSessions, aSession);
+  while (session != nullptr && !session->mActive &&
+         !session->mPipeline.empty()) {
+    const Statement statement = std::move(session->mPipeline.front());
+    session->mPipeline.pop_front();
+    StartStatement(aContext, *session, statement);
+    session = Find(aContext.mState.mSessions, aSession);
+  }
+  if (session == nullptr || session->mActive) {
+    return;
+  }
+  if (session->mTransaction.mState == TransactionState::Open) {
+    aContext.mState.mTimers.Arm(
+      TimerKind::IdleTransaction,
+      aSession.mValue,
+      aContext.mNow + aContext.mState.mCatalogue.mTransactionIdleTimeout);
+  }
+  CloseIdleSessionAtStop(aContext, *session);
+}
+
+void
+HandleSessionEnded(Context& aContext, const SessionEnded& aEvent)
+{
+  Session* const session = Find(aContext.mState.mSessions, aEvent.mSession);
+  if (session == nullptr) {
+    return;
+  }
+  AbandonStatement(aContext, *session);
+  RollbackTransaction(aContext, *session);
+  for (const TimerKind kind :
+       { TimerKind::Statement, TimerKind::Retry, TimerKind::IdleTransaction }) {
+    aContext.mState.mTimers.Cancel(kind, aEvent.mSession.mValue);
+  }
+  aContext.mState.mSessions.erase(aEvent.mSession);
+  CompleteStopIfIdle(aContext);
+}
+
+void
+EndIdleTransaction(Context& aContext, SessionId aSession)
+{
+  Session* const session = Find(aContext.mState.mSessions, aSession);
+  if (session == nullptr || session->mActive ||
+      session->mTransaction.mState != TransactionState::Open) {
+    return;
+  }
+  Log(aContext,
+      LogSeverity::Info,
+      "transaction rolled back: idle for too long",
+      { { "session", std::to_string(aSession.mValue) },
+        { "database", session->mDatabase } });
+  FailTransaction(aContext, *session);
+  session->mTransaction.mAbortUntold = true;
+}
+
+}
--- a/Source/Shell/FramedConnection.h
+++ b/Source/Shell/FramedConnection.h
@@ -3,14 +3,8 @@
 #include <functional>
 #include <string>
 #include <string_view>
-#include <vector>
 
-#include <cxxtools/connectable.h>
-#include <cxxtools/net/tcpserver.h>
-#include <cxxtools/net/tcpsocket.h>
-#include <cxxtools/selector.h>
-
-#include "Model/Topology.h"
+#include "Shell/StreamSocket.h"
 #include "Wire/Frame.h"
 
 namespace camphorstep {
@@ -18,7 +12,7 @@
 /// Exchanges frames over a socket of an event loop without blocking. The
 /// handlers are called from the loop; an object must not be deleted from
 /// within one of its handlers.
-class FramedConnection : public cxxtools::Connectable
+class FramedConnection
 {
 public:
   struct Handlers
@@ -47,26 +41,14 @@
   /// Ends the connection; no handler is called any more.
   void Close();
 
-  bool IsClosed() const { return mClosed; }
+  bool IsClosed() const { return mSocket.IsClosed(); }
 
 private:
-  void OnConnected(cxxtools::net::TcpSocket& aSocket);
-  void OnInput(cxxtools::IODevice& aDevice);
-  void OnOutput(cxxtools::IODevice& aDevice);
-  void StartReading();
-  void StartWriting();
-  void Fail();
+  void HandleData(std::string_view aBytes);
 
   Handlers mHandlers;
-  cxxtools::net::TcpSocket mSocket;
+  StreamSocket mSocket;
   FrameBuffer mInput;
-  std::vector<char> mReadBuffer;
-  /// Bytes that the socket is writing; they must not move meanwhile.
-  std::string mWriting;
-  std::size_t mWritten = 0;
-  std::string mWaiting;
-  bool mConnected = false;
-  bool mClosed = false;
 };
 
 }
--- /dev/null
+++ b/Source/Shell/HttpResponder.cpp
@@ -0,0 +1,121 @@
+#include "Shell/HttpResponder.h"
+
+#include <exception>
+#include <utility>
+
+#include "Common/Log.h"
+
+namespace camphorstep {
+
+namespace {
+
+constexpr std::size_t kReadSize = 2048;
+constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
+constexpr std::size_t kMaxClients = 64;
+constexpr int kBacklog = 64;
+constexpr unsigned kHttpOk = 200;
+constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+/// A client that has gone silent is forgotten after this time.
+constexpr std::chrono::milliseconds kSilenceLimit{ 10'000 };
+
+std::string
+Format(const HttpPage& aPage)
+{
+  const std::string reason = aPage.mStatus == kHttpOk ? "OK" : "Unavailable";
+  return "HTTP/1.1 " + std::to_string(aPage.mStatus) + " " + reason +
+         "\r\nContent-Type: " + aPage.mType +
+         "\r\nContent-Length: " + std::to_string(aPage.mBody.size()) +
+         "\r\n\r\n" + aPage.mBody;
+}
+
+/// Reads the path of a GET request line; empty if it is none.
+std::string
+PathOf(std::string_view aRequest)
+{
+  constexpr std::string_view get = "GET ";
+  if (!aRequest.starts_with(get)) {
+    return {};
+  }
+  const std::size_t end = aRequest.find_first_of(" ?\r", get.size());
+  return std::string(aRequest.substr(get.size(), end - get.size()));
+}
+
+}
+
+HttpResponder::HttpResponder(cxxtools::SelectorBase& aLoop,
+                             const Address& aAddress,
+                             Handler aHandler)
+  : mLoop(aLoop)
+  , mHandler(std::move(aHandler))
+  , mListener(aAddress.mIp, aAddress.mPort, kBacklog)
+{
+  cxxtools::connect(
+    mListener.connectionPending, *this, &HttpResponder::OnPending);
+  mListener.setSelector(mLoop);
+}
+
+void
+HttpResponder::OnPending(cxxtools::net::TcpServer& aListener)
+{
+  mClosed.clear();
+  const std::uint64_t id = ++mLastClient;
+  auto socket = std::make_unique<StreamSocket>(
+    StreamSocket::Handlers{
+      [] {},
+      [this, id](std::string_view aBytes) { HandleData(id, aBytes); },
+      [this, id](bool) { Remove(id); } },
+    kReadSize);
+  try {
+    socket->Accept(mLoop, aListener);
+    socket->LimitSilence(kSilenceLimit);
+  } catch (const std::exception& ex) {
+    WriteLog(LogLevel::Warning,
+             "could not accept a monitoring connection",
+             { { "error", ex.what() } });
+    return;
+  }
+  if (mClients.size() >= kMaxClients) {
+    socket->Close();
+    mClosed.push_back(std::move(socket));
+    return;
+  }
+  mClients.emplace(id, Client{ std::move(socket), {} });
+}
+
+void
+HttpResponder::HandleData(std::uint64_t aClient, std::string_view aBytes)
+{
+  Client& client = mClients.at(aClient);
+  client.mInput += aBytes;
+  for (std::size_t end = client.mInput.find(kHeaderEnd);
+       end != std::string::npos;
+       end = client.mInput.find(kHeaderEnd)) {
+    const std::string path =
+      PathOf(std::string_view(client.mInput).substr(0, end));
+    if (path.empty()) {
+      Remove(aClient);
+      return;
+    }
+    client.mInput.erase(0, end + kHeaderEnd.size());
+    client.mSocket->Append(Format(mHandler(path)));
+  }
+  if (client.mInput.size() > kMaxHeaderBytes) {
+    Remove(aClient);
+    return;
+  }
+  client.mSocket->Flush();
+}
+
+void
+HttpResponder::Remove(std::uint64_t aClient)
+{
+  const auto it = mClients.find(aClient);
+  if (it == mClients.end()) {
+    return;
+  }
+  it->second.mSocket->Close();
+  mClosed.push_back(std::move(it->second.mSocket));
+  mClients.erase(it);
+}
+
+}
--- a/Source/Shell/MetricsExporter.cpp
+++ b/Source/Shell/MetricsExporter.cpp
@@ -1,9 +1,8 @@
 #include "Shell/MetricsExporter.h"
 
-#include <limits>
 #include <string>
 
-#include <prometheus/metric_family.h>
+#include "Shell/MetricFamilies.h"
 
 namespace camphorstep {
 
@@ -12,35 +11,10 @@
 /// Listening threads of the exporter's HTTP server.
 constexpr std::size_t kThreads = 2;
 
-/// One sample of a counter with its labels.
-struct Sample
-{
-  std::vector<prometheus::ClientMetric::Label> mLabels;
-  std::uint64_t mValue = 0;
-};
-
-prometheus::MetricFamily
-MakeCounter(std::string aName,
-            std::string aHelp,
-            const std::vector<Sample>& aSamples)
-{
-  prometheus::MetricFamily family;
-  family.name = std::move(aName);
-  family.help = std::move(aHelp);
-  family.type = prometheus::MetricType::Counter;
-  for (const Sample& sample : aSamples) {
-    prometheus::ClientMetric metric;
-    metric.label = sample.mLabels;
-    metric.counter.value = static_cast<double>(sample.mValue);
-    family.metric.push_back(metric);
-  }
-  return family;
-}
-
-std::vector<Sample>
+std::vector<MetricSample>
 RankSamples(const Counters& aCounters)
 {
-  std::vector<Sample> samples;
+  std::vector<MetricSample> samples;
   for (const Rank rank : kRanks) {
     const RankCounters& counts = aCounters.mRanks[IndexOf(rank)];
     const std::string name(NameOf(rank));
@@ -54,10 +28,10 @@
   return samples;
 }
 
-std::vector<Sample>
+std::vector<MetricSample>
 EntryRefusalSamples(const Counters& aCounters)
 {
-  std::vector<Sample> samples;
+  std::vector<MetricSample> samples;
   for (const Rank rank : kRanks) {
     samples.push_back({ { { "rank", std::string(NameOf(rank)) } },
                         aCounters.mRanks[IndexOf(rank)].mRefusedAtEntry });
@@ -65,26 +39,6 @@
   return samples;
 }
 
-/// One rank's latencies as a Prometheus histogram, in seconds.
-prometheus::ClientMetric
-MakeHistogram(Rank aRank, const LatencyHistogram& aLatency)
-{
-  using Seconds = std::chrono::duration<double>;
-  prometheus::ClientMetric metric;
-  metric.label = { { "rank", std::string(NameOf(aRank)) } };
-  metric.histogram.sample_count = aLatency.mCount;
-  metric.histogram.sample_sum = Seconds(aLatency.mSum).count();
-  std::uint64_t cumulative = 0;
-  for (std::size_t n = 0; n < kLatencyBounds.size(); ++n) {
-    cumulative += aLatency.mBuckets[n];
-    metric.histogram.bucket.push_back(
-      { cumulative, Seconds(kLatencyBounds[n]).count() });
-  }
-  metric.histogram.bucket.push_back(
-    { aLatency.mCount, std::numeric_limits<double>::infinity() });
-  return metric;
-}
-
 prometheus::MetricFamily
 MakeLatencies(const Counters& aCounters)
 {
--- a/Source/Shell/Runtime.cpp
+++ b/Source/Shell/Runtime.cpp
@@ -2,9 +2,9 @@
 
 #include <utility>
 
-#include "Common/Log.h"
 #include "Reducer/Step.h"
 #include "Shell/Clock.h"
+#include "Shell/LogRecords.h"
 
 namespace camphorstep {
 
@@ -39,20 +39,6 @@
   return state;
 }
 
-LogLevel
-LevelOf(LogSeverity aSeverity)
-{
-  switch (aSeverity) {
-    case LogSeverity::Info:
-      return LogLevel::Info;
-    case LogSeverity::Warning:
-      return LogLevel::Warning;
-    case LogSeverity::Error:
-      return LogLevel::Error;
-  }
-  return LogLevel::Info;
-}
-
 }
 
 Runtime::Runtime(const Settings& aSettings)
@@ -205,11 +191,7 @@
 void
 Runtime::Carry(const WriteLogRecord& aEffect)
 {
-  std::vector<LogField> fields;
-  for (const LogValue& value : aEffect.mValues) {
-    fields.emplace_back(value.mName, value.mValue);
-  }
-  WriteLog(LevelOf(aEffect.mSeverity), aEffect.mEvent, fields);
+  WriteRecord(aEffect);
 }
 
 void
