Platform: Survive connections that break while they are closed

Incarnations did not fit the signed numbers of the JSON reader, so every lease was unreadable.

Ruled out: the HTTP client, which the traces did not name.

--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -31,7 +31,8 @@
   state.mSelf.mEntry = { aSettings.mHostName,
                          aSettings.mPeerAddress,
                          aSettings.mDataCentre,
-                         RandomBits() };
+                         // Fits the signed numbers of JSON readers.
+                         RandomBits() >> 1U };
   state.mSelf.mRegions = aSettings.mRegions;
   state.mSelf.mStopGrace = aSettings.mStopGrace;
   return state;
--- a/Source/Shell/StreamSocket.cpp
+++ b/Source/Shell/StreamSocket.cpp
@@ -109,7 +109,7 @@
 {
   mCloseWhenSent = true;
   Flush();
-  if (!mClosed && mWaiting.empty() && mWriting.empty()) {
+  if (!mConnected || (mWaiting.empty() && mWriting.empty())) {
     Close();
   }
 }
