Shell: Reload the gateway's settings on SIGHUP and on a changed file

The signal thread now waits for it too, the file is compared every two seconds as well, and the platform's addresses, regions and the stop's grace time change while running.

--- a/Source/App/GatewayCommand.cpp
+++ b/Source/App/GatewayCommand.cpp
@@ -55,10 +55,11 @@
     std::cerr << "libsodium could not be initialized\n";
     return 1;
   }
-  const GatewaySettings settings = ParseGatewaySettings(ReadIniFile(path));
+  GatewayRuntime runtime(path, platform::MakeAdapter);
+  const GatewaySettings& settings = runtime.Settings();
   InitializeLog("gateway", settings.mHostName);
-  GatewayRuntime runtime(settings, platform::MakeAdapter);
-  const StopSignal stopSignal([&runtime] { runtime.RequestStop(); });
+  const StopSignal stopSignal([&runtime] { runtime.RequestStop(); },
+                              [&runtime] { runtime.RequestReload(); });
   WriteLog(LogLevel::Info,
            "gateway started",
            { { "data_centre", settings.mDataCentre } });
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 
 #include "Gateway/BackendMessage.h"
@@ -71,6 +72,14 @@
   CallOutcome mOutcome = CallOutcome::Unknown;
 };
 
+/// The settings file has changed.
+struct SettingsChanged
+{
+  /// The region of each data centre.
+  std::unordered_map<std::string, std::string> mRegions;
+  Duration mStopGrace{ 0 };
+};
+
 /// The process has been asked to stop.
 struct StopRequested
 {};
@@ -88,6 +97,7 @@
                                TableAnswer,
                                StoreWritten,
                                PromoteAnswered,
+                               SettingsChanged,
                                StopRequested,
                                TimePassed>;
 
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -57,6 +57,11 @@
   {
     HandlePromoteAnswered(mContext, aEvent);
   }
+  void operator()(const SettingsChanged& aEvent) const
+  {
+    mContext.mState.mSelf.mRegions = aEvent.mRegions;
+    mContext.mState.mSelf.mStopGrace = aEvent.mStopGrace;
+  }
   void operator()(const StopRequested&) const { BeginStop(mContext); }
   void operator()(const TimePassed&) const {}
 };
--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -1,10 +1,14 @@
 #include "Shell/GatewayRuntime.h"
 
 #include <algorithm>
+#include <exception>
+#include <typeinfo>
 #include <utility>
 #include <vector>
 
+#include "Common/IniFile.h"
 #include "Common/Log.h"
+#include "Common/TextFile.h"
 #include "Gateway/Step.h"
 #include "Shell/Clock.h"
 #include "Shell/GatewayMetrics.h"
@@ -20,10 +24,28 @@
 /// Timers are not set for less, so that the loop gets to sockets in between.
 constexpr double kMinTimerMilliseconds = 0.5;
 
+/// How often the settings file is compared, since it may change without a
+/// signal.
+constexpr double kSettingsCheckMilliseconds = 2'000.0;
+
 /// Wakes the event loop because a stop is asked for.
 class StopEvent : public cxxtools::BasicEvent<StopEvent>
 {};
 
+/// Wakes the event loop because the settings are to be read again.
+class ReloadEvent : public cxxtools::BasicEvent<ReloadEvent>
+{};
+
+bool
+SameListeners(const GatewaySettings& aFirst, const GatewaySettings& aSecond)
+{
+  return aFirst.mCallerAddress == aSecond.mCallerAddress &&
+         aFirst.mReadinessAddress == aSecond.mReadinessAddress &&
+         aFirst.mMetricsAddress == aSecond.mMetricsAddress &&
+         aFirst.mPeerAddress == aSecond.mPeerAddress &&
+         aFirst.mHostName == aSecond.mHostName;
+}
+
 gateway::State
 MakeState(const GatewaySettings& aSettings)
 {
@@ -40,21 +62,28 @@
 
 }
 
-GatewayRuntime::GatewayRuntime(const GatewaySettings& aSettings,
+GatewayRuntime::GatewayRuntime(std::string aSettingsPath,
                                const GatewayAdapterFactory& aFactory)
-  : mState(MakeState(aSettings))
+  : mSettingsPath(std::move(aSettingsPath))
+  , mSettingsText(ReadTextFile(mSettingsPath))
+  , mSettings(ParseGatewaySettings(ParseIni(mSettingsText, mSettingsPath)))
+  , mState(MakeState(mSettings))
   , mReadiness(
       mLoop,
-      aSettings.mReadinessAddress,
+      mSettings.mReadinessAddress,
       [this](const std::string& aPath) { return AnswerReadiness(aPath); })
   , mMetrics(mLoop,
-             aSettings.mMetricsAddress,
+             mSettings.mMetricsAddress,
              [this](const std::string& aPath) { return AnswerMetrics(aPath); })
-  , mAdapter(aFactory(aSettings, mLoop, *this))
+  , mAdapter(aFactory(mSettings, mLoop, *this))
 {
   cxxtools::connect(mLoop.event, *this, &GatewayRuntime::OnWake);
   cxxtools::connect(mTimer.timeout, *this, &GatewayRuntime::OnTimer);
+  cxxtools::connect(
+    mSettingsTimer.timeout, *this, &GatewayRuntime::OnSettingsTimer);
   mTimer.setSelector(mLoop);
+  mSettingsTimer.setSelector(mLoop);
+  mSettingsTimer.start(cxxtools::Milliseconds(kSettingsCheckMilliseconds));
   gateway::Start(mState, MonotonicNow());
 }
 
@@ -71,6 +100,12 @@
   mLoop.commitEvent(StopEvent());
 }
 
+void
+GatewayRuntime::RequestReload()
+{
+  mLoop.commitEvent(ReloadEvent());
+}
+
 void
 GatewayRuntime::Deliver(gateway::EventBody aEvent)
 {
@@ -131,11 +166,48 @@
 }
 
 void
-GatewayRuntime::OnWake(const cxxtools::Event&)
+GatewayRuntime::OnWake(const cxxtools::Event& aEvent)
 {
+  if (aEvent.typeInfo() == typeid(ReloadEvent)) {
+    ReloadSettings();
+    return;
+  }
   Deliver(gateway::StopRequested{});
 }
 
+void
+GatewayRuntime::OnSettingsTimer()
+{
+  ReloadSettings();
+}
+
+void
+GatewayRuntime::ReloadSettings()
+{
+  try {
+    std::string text = ReadTextFile(mSettingsPath);
+    if (text == mSettingsText) {
+      return;
+    }
+    mSettingsText = std::move(text);
+    const GatewaySettings settings =
+      ParseGatewaySettings(ParseIni(mSettingsText, mSettingsPath));
+    if (!SameListeners(settings, mSettings)) {
+      WriteLog(LogLevel::Warning,
+               "changed names and listening addresses take a restart");
+    }
+    mSettings = settings;
+    mAdapter->ChangeSettings(mSettings);
+    WriteLog(LogLevel::Info, "settings reloaded");
+    Deliver(
+      gateway::SettingsChanged{ mSettings.mRegions, mSettings.mStopGrace });
+  } catch (const std::exception& ex) {
+    WriteLog(LogLevel::Error,
+             "settings were not reloaded; the former ones stay in force",
+             { { "error", ex.what() } });
+  }
+}
+
 void
 GatewayRuntime::OnTimer()
 {
--- a/Source/Shell/GatewayRuntime.h
+++ b/Source/Shell/GatewayRuntime.h
@@ -37,6 +37,9 @@
 
   /// Sends what has been written since the last call.
   virtual void Flush() = 0;
+
+  /// Takes new addresses of the platform into use.
+  virtual void ChangeSettings(const GatewaySettings& aSettings) = 0;
 };
 
 using GatewayAdapterFactory =
@@ -51,7 +54,9 @@
   , public cxxtools::Connectable
 {
 public:
-  GatewayRuntime(const GatewaySettings& aSettings,
+  /// Reads the settings from a file, and again whenever it changes. Throws
+  /// std::runtime_error if they do not pass the checks at first.
+  GatewayRuntime(std::string aSettingsPath,
                  const GatewayAdapterFactory& aFactory);
 
   /// Runs until a planned stop is complete.
@@ -62,8 +67,15 @@
   /// Asks for a planned stop, from any thread.
   void RequestStop();
 
+  /// Has the settings read again, from any thread.
+  void RequestReload();
+
+  const GatewaySettings& Settings() const { return mSettings; }
+
 private:
   void OnWake(const cxxtools::Event& aEvent);
+  void OnSettingsTimer();
+  void ReloadSettings();
   void OnTimer();
   void StepOnce(gateway::EventBody aEvent);
   void Apply(const gateway::Effect& aEffect);
@@ -71,8 +83,12 @@
   HttpPage AnswerReadiness(const std::string& aPath) const;
   HttpPage AnswerMetrics(const std::string& aPath) const;
 
+  std::string mSettingsPath;
+  std::string mSettingsText;
+  GatewaySettings mSettings;
   gateway::State mState;
   cxxtools::EventLoop mLoop;
+  cxxtools::Timer mSettingsTimer;
   cxxtools::Timer mTimer;
   Instant mTimerDue = Instant::max();
   HttpResponder mReadiness;
--- a/Source/Shell/StopSignal.cpp
+++ b/Source/Shell/StopSignal.cpp
@@ -19,6 +19,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   sigaddset(&signals, kWakeSignal);
   return signals;
 }
@@ -33,11 +34,15 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-StopSignal::StopSignal(std::function<void()> aOnStop)
-  : mThread([onStop = std::move(aOnStop)] {
+StopSignal::StopSignal(std::function<void()> aOnStop,
+                       std::function<void()> aOnReload)
+  : mThread([onStop = std::move(aOnStop), onReload = std::move(aOnReload)] {
     const sigset_t signals = StopSignals();
     int received = 0;
-    if (::sigwait(&signals, &received) == 0 && received != kWakeSignal) {
+    while (::sigwait(&signals, &received) == 0 && received == SIGHUP) {
+      onReload();
+    }
+    if (received != kWakeSignal) {
       onStop();
     }
   })
