Group: Confirm the fence after the wait, and wait anew when it broke

A new test let a replica lose its pause shortly before the promotion: the promotion went out on a status that was up to 300 ms old, and evidence that the replica gave meanwhile would have outlived the promotion. All paused servers now have to say so again to requests sent after the wait, and one that shows no pause starts the wait again.

--- a/Source/Group/Fencing.cpp
+++ b/Source/Group/Fencing.cpp
@@ -106,11 +106,12 @@
 }
 
 bool
-IsFenced(const Context& aContext, const Group& aGroup)
+IsFenced(const Context& aContext, const Group& aGroup, Instant aSince)
 {
   const std::size_t frozen =
     CountServers(aContext, aGroup, [&](const Backend& aBackend) {
-      return IsFrozen(aContext, aGroup, aBackend);
+      return IsFrozen(aContext, aGroup, aBackend) &&
+             aBackend.mStatusAskedAt >= aSince;
     });
   const std::size_t reachable =
     CountServers(aContext, aGroup, [&](const Backend& aBackend) {
@@ -119,6 +120,15 @@
   return frozen + 1 >= aGroup.mCopies && frozen >= reachable;
 }
 
+bool
+IsFenceBroken(const Context& aContext, const Group& aGroup)
+{
+  return CountServers(aContext, aGroup, [&](const Backend& aBackend) {
+           return IsFreshlyKnown(aContext, aBackend) &&
+                  !IsFrozen(aContext, aGroup, aBackend);
+         }) > 0;
+}
+
 const Backend*
 BestCandidate(const Context& aContext, const Group& aGroup)
 {
--- a/Source/Group/Fencing.h
+++ b/Source/Group/Fencing.h
@@ -16,9 +16,13 @@
 /// reached and have not done so.
 void ContinueFencing(Context& aContext, Group& aGroup);
 
-/// Whether enough servers are paused by this change that no write can be
-/// acknowledged any more and every acknowledged one is on a paused server.
-bool IsFenced(const Context& aContext, const Group& aGroup);
+/// Whether enough servers have said, to requests sent since a time, that they
+/// are paused by this change, so that no write can be acknowledged any more
+/// and every acknowledged one is on a paused server.
+bool IsFenced(const Context& aContext, const Group& aGroup, Instant aSince);
+
+/// Whether a server has shown that it is not paused, or not any more.
+bool IsFenceBroken(const Context& aContext, const Group& aGroup);
 
 /// The paused server that has received the most, which thereby has every
 /// acknowledged write; nullptr if there is none.
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -156,7 +156,7 @@
 AdvanceFencing(Context& aContext, Group& aGroup)
 {
   ContinueFencing(aContext, aGroup);
-  if (!IsFenced(aContext, aGroup)) {
+  if (!IsFenced(aContext, aGroup, aGroup.mTakeover.mStartedAt)) {
     return;
   }
   aGroup.mTakeover.mFencedAt = aContext.mNow;
@@ -166,14 +166,21 @@
 void
 AdvanceWaiting(Context& aContext, Group& aGroup)
 {
-  ContinueFencing(aContext, aGroup);
   Takeover& takeover = aGroup.mTakeover;
-  if (aContext.mNow < takeover.mFencedAt + kLeaseTime) {
+  // A server that was not paused for a while may have given evidence for the
+  // old primary, so the wait begins anew.
+  if (IsFenceBroken(aContext, aGroup)) {
+    SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
+    ContinueFencing(aContext, aGroup);
+    return;
+  }
+  ContinueFencing(aContext, aGroup);
+  const Instant waitEnd = takeover.mFencedAt + kLeaseTime;
+  if (aContext.mNow < waitEnd) {
     return;
   }
-  if (!IsFenced(aContext, aGroup)) {
-    // A pause that was lost in between may have let writes through.
-    if (aContext.mNow > takeover.mFencedAt + kLeaseTime + kFenceFreshness) {
+  if (!IsFenced(aContext, aGroup, waitEnd)) {
+    if (aContext.mNow > waitEnd + kFenceFreshness) {
       SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
     }
     return;
--- /dev/null
+++ b/Tests/Gateway/GatewayDriver.cpp
@@ -0,0 +1,286 @@
+#include "GatewayDriver.h"
+
+#include <algorithm>
+
+#include "Gateway/Context.h"
+#include "Gateway/Step.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kStepTime = 10ms;
+
+Route
+MakeRoute(const std::string& aName, Freshness aFreshness, Duration aMaxAge)
+{
+  Route route;
+  route.mDatabase = aName;
+  route.mGroup = "group";
+  route.mFreshness = aFreshness;
+  route.mMaxAge = aMaxAge;
+  route.mStatementTimeout = 1s;
+  route.mTarget = 500ms;
+  return route;
+}
+
+}
+
+GatewayDriver::GatewayDriver()
+{
+  mState.mSelf.mEntry = { "h1", { "10.0.0.1", 1 }, "a", 7 };
+  mState.mSelf.mRegions = { { "a", "r" }, { "b", "r" }, { "c", "q" } };
+  mServers = { { "s1" }, { "s2" }, { "s3" } };
+  mServers[0].mPrimary = true;
+  Start(mState, mNow);
+  Deliver(TimePassed{});
+  Publish(1);
+  ListServers();
+  Run(1s);
+  mEffects.clear();
+}
+
+void
+GatewayDriver::Deliver(EventBody aEvent)
+{
+  for (Effect& effect : Step(mState, Event{ mNow, std::move(aEvent) })) {
+    mEffects.push_back(std::move(effect));
+  }
+}
+
+void
+GatewayDriver::Pass(Duration aTime)
+{
+  for (Duration passed{ 0 }; passed < aTime; passed += kStepTime) {
+    mNow += kStepTime;
+    Deliver(TimePassed{});
+  }
+}
+
+void
+GatewayDriver::Publish(std::uint64_t aVersion)
+{
+  TableProgress& table = mState.mCatalogue.mTables[0];
+  TableAnswer answer;
+  answer.mCall = table.mCall;
+  answer.mTable = Table::Operator;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mVersion = ++mStoreVersion;
+  RoutingVersion routing;
+  routing.mVersion = aVersion;
+  routing.mRoutes = { MakeRoute("main", Freshness::Primary, 0s),
+                      MakeRoute("near", Freshness::MaxAge, 1500ms),
+                      MakeRoute("own", Freshness::ReadYourWrites, 1500ms) };
+  routing.mGroups = { { "group", 20 } };
+  routing.mTransactionIdleTimeout = 2s;
+  answer.mRouting = routing;
+  Deliver(answer);
+}
+
+void
+GatewayDriver::ListServers()
+{
+  TableAnswer answer;
+  answer.mCall = mState.mCatalogue.mTables[1].mCall;
+  answer.mTable = Table::Servers;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mVersion = ++mStoreVersion;
+  for (std::size_t n = 0; n < mServers.size(); ++n) {
+    ServerEntry entry;
+    entry.mName = mServers[n].mName;
+    entry.mGroup = "group";
+    entry.mAddress = { "10.0.1." + std::to_string(n + 1), 5000 };
+    entry.mDataCentre = std::string(1, static_cast<char>('a' + n));
+    entry.mStartedAt = 1;
+    answer.mServers.push_back({ entry.mName, entry });
+  }
+  Deliver(answer);
+}
+
+void
+GatewayDriver::AnswerTables()
+{
+  const auto answerWith = [this](CallId aCall, Table aTable) {
+    TableAnswer answer;
+    answer.mCall = aCall;
+    answer.mTable = aTable;
+    answer.mOutcome = CallOutcome::Ok;
+    answer.mVersion = mStoreVersion;
+    answer.mStoreTime = mNow.time_since_epoch();
+    Deliver(answer);
+  };
+  while (const auto call = Take<ReadTable>()) {
+    answerWith(call->mCall, call->mTable);
+  }
+  while (const auto call = Take<WriteLease>()) {
+    Deliver(StoreWritten{ call->mCall, CallOutcome::Ok, ++mStoreVersion });
+  }
+  while (const auto call = Take<WriteHostEntry>()) {
+    Deliver(StoreWritten{ call->mCall, CallOutcome::Ok, ++mStoreVersion });
+  }
+}
+
+void
+GatewayDriver::OpenLinks()
+{
+  while (const auto open = Take<OpenLink>()) {
+    if (!Server(open->mServer).mDown) {
+      Deliver(LinkReady{ open->mLink, std::nullopt });
+    }
+  }
+}
+
+std::size_t
+GatewayDriver::AnswerControl()
+{
+  std::vector<SendOnLink> requests;
+  for (auto it = mEffects.begin(); it != mEffects.end();) {
+    const SendOnLink* const send = std::get_if<SendOnLink>(&*it);
+    const Link* const link =
+      send == nullptr ? nullptr : Find(mState.mLinks, send->mLink);
+    if (link != nullptr && link->mControl) {
+      requests.push_back(*send);
+      it = mEffects.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (const SendOnLink& request : requests) {
+    FakeServer& server = Server(ServerOf(request.mLink));
+    if (!server.mDown) {
+      Deliver(
+        LinkReplied{ request.mLink, StatusReply(server, request.mRequest) });
+    }
+  }
+  return requests.size();
+}
+
+void
+GatewayDriver::Settle()
+{
+  do {
+    OpenLinks();
+    AnswerTables();
+  } while (AnswerControl() > 0);
+}
+
+void
+GatewayDriver::Run(Duration aTime)
+{
+  for (Duration passed{ 0 }; passed < aTime; passed += kStepTime) {
+    Settle();
+    Pass(kStepTime);
+  }
+  Settle();
+}
+
+void
+GatewayDriver::OpenSession(std::uint64_t aSession, const std::string& aDatabase)
+{
+  Deliver(SessionOpened{ SessionId{ aSession }, aDatabase });
+  while (Take<WelcomeCaller>()) {
+  }
+}
+
+void
+GatewayDriver::Send(std::uint64_t aSession,
+                    StatementKind aKind,
+                    const std::string& aName,
+                    const std::string& aArgument)
+{
+  Statement statement;
+  statement.mId = "id" + std::to_string(aSession);
+  statement.mKind = aKind;
+  statement.mText = "text";
+  statement.mName = aName;
+  statement.mArgument = aArgument;
+  Deliver(StatementReceived{ SessionId{ aSession }, statement });
+  Settle();
+}
+
+std::optional<SendOnLink>
+GatewayDriver::NextStatement()
+{
+  Settle();
+  while (const auto send = Take<SendOnLink>()) {
+    const BackendVerb verb = send->mRequest.mVerb;
+    if (verb != BackendVerb::SetValue && verb != BackendVerb::Reset &&
+        verb != BackendVerb::Prepare && verb != BackendVerb::Rollback) {
+      return send;
+    }
+    Deliver(LinkReplied{ send->mLink, BackendReply{} });
+    Settle();
+  }
+  return std::nullopt;
+}
+
+void
+GatewayDriver::Reply(const SendOnLink& aRequest,
+                     ResultCode aCode,
+                     TransactionState aState)
+{
+  const FakeServer& server = Server(ServerOf(aRequest.mLink));
+  BackendReply reply;
+  reply.mCode = aCode;
+  reply.mState = aState;
+  reply.mSignature = aCode == ResultCode::Ok ? "signature" : "";
+  reply.mPosition = Position{ server.mTerm, server.mIndex };
+  Deliver(LinkReplied{ aRequest.mLink, reply });
+  Settle();
+}
+
+std::string
+GatewayDriver::ServerOf(LinkId aLink) const
+{
+  const auto link = mState.mLinks.find(aLink);
+  return link == mState.mLinks.end()
+           ? ""
+           : mState.mBackends.at(link->second.mServer).mEntry.mName;
+}
+
+void
+GatewayDriver::Break(LinkId aLink)
+{
+  Deliver(LinkClosed{ aLink, ResultCode::Ok, true });
+  Settle();
+}
+
+GatewayDriver::FakeServer&
+GatewayDriver::Server(const std::string& aName)
+{
+  return *std::find_if(
+    mServers.begin(), mServers.end(), [&aName](const FakeServer& aServer) {
+      return aServer.mName == aName;
+    });
+}
+
+BackendReply
+GatewayDriver::StatusReply(FakeServer& aServer, const BackendRequest& aRequest)
+{
+  switch (aRequest.mVerb) {
+    case BackendVerb::Pause:
+      aServer.mPausedBy = aRequest.mTerm;
+      break;
+    case BackendVerb::Resume:
+      aServer.mPausedBy = 0;
+      break;
+    case BackendVerb::StepDown:
+      aServer.mPrimary = false;
+      break;
+    default:
+      break;
+  }
+  BackendReply reply;
+  BackendStatus status;
+  status.mPrimary = aServer.mPrimary;
+  status.mTerm = aServer.mTerm;
+  status.mReceived = { aServer.mTerm, aServer.mIndex };
+  status.mPausedBy = aServer.mPausedBy;
+  reply.mStatus = status;
+  reply.mPosition = status.mReceived;
+  return reply;
+}
+
+}
--- /dev/null
+++ b/Tests/Gateway/GatewayDriver.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Gateway/Effect.h"
+#include "Gateway/Event.h"
+#include "Gateway/State.h"
+
+namespace camphorstep::gateway {
+
+/// Two groups' worth of facts in one place: drives a gateway's core in
+/// virtual time, with a group of three servers whose answers the test writes.
+class GatewayDriver
+{
+public:
+  GatewayDriver();
+
+  /// Gives the core an event and keeps the effects.
+  void Deliver(EventBody aEvent);
+
+  /// Lets time pass in small steps, so that timers fire when they are due.
+  void Pass(Duration aTime);
+
+  /// Removes and returns the oldest effect of a kind, if there is one.
+  template<typename Body>
+  std::optional<Body> Take()
+  {
+    for (auto it = mEffects.begin(); it != mEffects.end(); ++it) {
+      if (const Body* const body = std::get_if<Body>(&*it)) {
+        const Body found = *body;
+        mEffects.erase(it);
+        return found;
+      }
+    }
+    return std::nullopt;
+  }
+
+  /// Publishes routes: "main" reads at the primary, "near" has bounded
+  /// staleness, "own" reads its own writes.
+  void Publish(std::uint64_t aVersion);
+
+  /// Lists the servers "s1" to "s3" of the group, and the fleet's table.
+  void ListServers();
+
+  /// Answers the table calls that are underway with nothing new.
+  void AnswerTables();
+
+  /// Opens all connections that the core asks for, but those to servers that
+  /// are down.
+  void OpenLinks();
+
+  /// Answers status requests and orders by the servers' state; returns how
+  /// many there were.
+  std::size_t AnswerControl();
+
+  /// Opens connections and answers control requests until nothing is left.
+  void Settle();
+
+  /// Lets time pass while the servers answer.
+  void Run(Duration aTime);
+
+  /// Opens a session and forgets the effects of doing so.
+  void OpenSession(std::uint64_t aSession, const std::string& aDatabase);
+
+  void Send(std::uint64_t aSession,
+            StatementKind aKind,
+            const std::string& aName = "",
+            const std::string& aArgument = "");
+
+  /// The next request of a caller's that a server was sent; answers
+  /// preparations on the way.
+  std::optional<SendOnLink> NextStatement();
+
+  /// Answers a request.
+  void Reply(const SendOnLink& aRequest,
+             ResultCode aCode = ResultCode::Ok,
+             TransactionState aState = TransactionState::None);
+
+  /// The next answer to a caller.
+  std::optional<AnswerCaller> Answer() { return Take<AnswerCaller>(); }
+
+  /// The name of the server at a connection's other end.
+  std::string ServerOf(LinkId aLink) const;
+
+  /// Breaks a connection.
+  void Break(LinkId aLink);
+
+  /// A backend server's own state.
+  struct FakeServer
+  {
+    std::string mName;
+    bool mDown = false;
+    bool mPrimary = false;
+    Term mTerm = 1;
+    std::uint64_t mIndex = 100;
+    Term mPausedBy = 0;
+  };
+
+  FakeServer& Server(const std::string& aName);
+
+  State mState;
+  Instant mNow{ std::chrono::seconds(1000) };
+  std::deque<Effect> mEffects;
+  std::vector<FakeServer> mServers;
+  std::uint64_t mStoreVersion = 10;
+
+private:
+  BackendReply StatusReply(FakeServer& aServer, const BackendRequest& aRequest);
+};
+
+}
--- /dev/null
+++ b/Tests/Gateway/RoutingTest.cpp
@@ -0,0 +1,118 @@
+#include <catch2/catch.hpp>
+
+#include "Gateway/Tuning.h"
+#include "GatewayDriver.h"
+
+using namespace camphorstep;
+using namespace camphorstep::gateway;
+
+TEST_CASE("Reads that need the primary go there without a position",
+          "[Routing]")
+{
+  GatewayDriver driver;
+  driver.OpenSession(1, "main");
+  driver.Send(1, StatementKind::Read);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  CHECK(driver.ServerOf(read->mLink) == "s1");
+  CHECK_FALSE(read->mRequest.mAfter);
+}
+
+TEST_CASE("Bounded reads go to the nearest replica with a position",
+          "[Routing]")
+{
+  GatewayDriver driver;
+  driver.OpenSession(1, "near");
+  driver.Send(1, StatementKind::Read);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  CHECK(driver.ServerOf(read->mLink) == "s2");
+  REQUIRE(read->mRequest.mAfter);
+  CHECK(*read->mRequest.mAfter == Position{ 1, 100 });
+}
+
+TEST_CASE("A replica that lacks the position is passed over", "[Routing]")
+{
+  GatewayDriver driver;
+  driver.OpenSession(1, "near");
+  driver.Send(1, StatementKind::Read);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  driver.Server("s2").mIndex = 90;
+  driver.Reply(*read, ResultCode::ReplicaBehind);
+  driver.Run(10ms);
+  const auto again = driver.NextStatement();
+  REQUIRE(again);
+  CHECK(driver.ServerOf(again->mLink) != "s2");
+}
+
+TEST_CASE("A session's own commit is required of replicas", "[Routing]")
+{
+  GatewayDriver driver;
+  driver.OpenSession(1, "own");
+  driver.Send(1, StatementKind::Write);
+  const auto write = driver.NextStatement();
+  REQUIRE(write);
+  CHECK(driver.ServerOf(write->mLink) == "s1");
+  driver.Server("s1").mIndex = 105;
+  driver.Reply(*write);
+  driver.Send(1, StatementKind::Read);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  const bool atPrimary = driver.ServerOf(read->mLink) == "s1";
+  const bool withCommit =
+    read->mRequest.mAfter && *read->mRequest.mAfter >= Position{ 1, 105 };
+  CHECK((atPrimary || withCommit));
+}
+
+TEST_CASE("Without proof of the primary statements wait and are refused",
+          "[Routing]")
+{
+  GatewayDriver driver;
+  driver.Server("s2").mDown = true;
+  driver.Server("s3").mDown = true;
+  // The primary alone proves nothing: a replica may have been promoted.
+  driver.Run(kLeaseTime + 500ms);
+  driver.OpenSession(1, "main");
+  driver.Send(1, StatementKind::Read);
+  CHECK_FALSE(driver.NextStatement());
+  driver.Run(1100ms);
+  const auto answer = driver.Answer();
+  REQUIRE(answer);
+  CHECK(answer->mCode == ResultCode::Overloaded);
+  CHECK_THAT(answer->mErrorText, Catch::Contains("retry after"));
+}
+
+TEST_CASE("A paused replica proves nothing", "[Routing]")
+{
+  GatewayDriver driver;
+  driver.Server("s3").mDown = true;
+  driver.mState.mPromoter.mHeldUntil = Instant{};
+  driver.mState.mPromoter.mLease.mHolder = "other";
+  driver.Server("s2").mPausedBy = 9;
+  driver.mState.mTimers.Cancel(TimerKind::PromoterLease, 0);
+  driver.Run(kLeaseTime + 300ms);
+  driver.OpenSession(1, "main");
+  driver.Send(1, StatementKind::Read);
+  CHECK_FALSE(driver.NextStatement());
+}
+
+TEST_CASE("A server that is leaving gets no new statements", "[Routing]")
+{
+  GatewayDriver driver;
+  TableAnswer answer;
+  driver.Run(kServerPollInterval);
+  answer.mCall = driver.mState.mCatalogue.mTables[1].mCall;
+  answer.mTable = Table::Servers;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mVersion = ++driver.mStoreVersion;
+  ServerEntry entry = driver.mState.mBackends.at(IdOf<ServerId>("s2")).mEntry;
+  entry.mLeaving = true;
+  answer.mServers.push_back({ "s2", entry });
+  driver.Deliver(answer);
+  driver.OpenSession(1, "near");
+  driver.Send(1, StatementKind::Read);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  CHECK(driver.ServerOf(read->mLink) != "s2");
+}
--- /dev/null
+++ b/Tests/Gateway/StoppingTest.cpp
@@ -0,0 +1,95 @@
+#include <catch2/catch.hpp>
+
+#include "GatewayDriver.h"
+
+using namespace camphorstep;
+using namespace camphorstep::gateway;
+using namespace std::chrono_literals;
+
+TEST_CASE("A stop closes idle sessions and lets transactions end",
+          "[GatewayStop]")
+{
+  GatewayDriver driver;
+  driver.OpenSession(1, "main");
+  driver.OpenSession(2, "main");
+  driver.Send(2, StatementKind::Begin);
+  driver.Send(2, StatementKind::Write);
+  const auto begin = driver.NextStatement();
+  driver.Reply(*begin, ResultCode::Ok, TransactionState::Open);
+  driver.Reply(*driver.NextStatement(), ResultCode::Ok, TransactionState::Open);
+  while (driver.Answer()) {
+  }
+  driver.Deliver(StopRequested{});
+  CHECK_FALSE(driver.Take<SetReady>()->mReady);
+  CHECK(driver.Take<CloseSession>()->mSession == SessionId{ 1 });
+  CHECK_FALSE(driver.Take<CloseSession>());
+  driver.Run(1s);
+  driver.Send(2, StatementKind::Commit);
+  driver.Reply(*driver.NextStatement());
+  CHECK(driver.Answer()->mCode == ResultCode::Ok);
+  CHECK(driver.Take<CloseSession>()->mSession == SessionId{ 2 });
+  driver.Run(3s);
+  CHECK(driver.Take<StopComplete>());
+}
+
+TEST_CASE("A stop ends in time although a transaction stays open",
+          "[GatewayStop]")
+{
+  GatewayDriver driver;
+  driver.OpenSession(1, "main");
+  driver.Send(1, StatementKind::Begin);
+  driver.Deliver(StopRequested{});
+  driver.Run(2900ms);
+  // Half of the grace time belongs to open transactions.
+  CHECK_FALSE(driver.Take<CloseSession>());
+  driver.Run(3s);
+  CHECK(driver.Take<CloseSession>());
+  CHECK(driver.Take<StopComplete>());
+}
+
+TEST_CASE("New sessions during a stop are served until the balancer knows",
+          "[GatewayStop]")
+{
+  GatewayDriver driver;
+  driver.Deliver(StopRequested{});
+  driver.OpenSession(1, "main");
+  driver.Send(1, StatementKind::Read);
+  driver.Reply(*driver.NextStatement());
+  CHECK(driver.Answer()->mCode == ResultCode::Ok);
+  CHECK(driver.Take<CloseSession>());
+  driver.Run(3s);
+  driver.Deliver(SessionOpened{ SessionId{ 2 }, "main" });
+  CHECK(driver.Take<RefuseCaller>()->mCode == ResultCode::Stopping);
+}
+
+TEST_CASE("Servers whose entries are missing are kept for a while", "[Servers]")
+{
+  GatewayDriver driver;
+  driver.Run(1s);
+  const auto answer = [&driver](CallOutcome aOutcome, bool aDrop) {
+    TableAnswer table;
+    table.mCall = driver.mState.mCatalogue.mTables[1].mCall;
+    table.mTable = Table::Servers;
+    table.mOutcome = aOutcome;
+    table.mVersion = ++driver.mStoreVersion;
+    if (aDrop) {
+      table.mServers.push_back({ "s3", std::nullopt });
+    }
+    driver.Deliver(table);
+  };
+  answer(CallOutcome::Ok, true);
+  driver.Run(1s);
+  // The store is away for long; the entry could not be written again.
+  for (int n = 0; n < 8; ++n) {
+    answer(CallOutcome::Unknown, false);
+    driver.Run(1s);
+  }
+  answer(CallOutcome::Ok, false);
+  driver.Run(1s);
+  CHECK(driver.mState.mBackends.contains(IdOf<ServerId>("s3")));
+  for (int n = 0; n < 3; ++n) {
+    answer(CallOutcome::Ok, false);
+    driver.Run(1s);
+  }
+  CHECK_FALSE(driver.mState.mBackends.contains(IdOf<ServerId>("s3")));
+}
--- /dev/null
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -0,0 +1,177 @@
+#include <catch2/catch.hpp>
+
+#include "Gateway/Tuning.h"
+#include "GatewayDriver.h"
+
+using namespace camphorstep;
+using namespace camphorstep::gateway;
+
+namespace {
+
+/// Runs until the platform is asked to promote a server, for a time at most.
+std::optional<PromoteServer>
+RunToPromotion(GatewayDriver& aDriver, Duration aTime)
+{
+  for (Duration passed{ 0 }; passed < aTime; passed += 10ms) {
+    aDriver.Run(10ms);
+    if (const auto promotion = aDriver.Take<PromoteServer>()) {
+      return promotion;
+    }
+  }
+  return std::nullopt;
+}
+
+}
+
+TEST_CASE("A silent primary is replaced by the furthest replica", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s2").mIndex = 101;
+  driver.Server("s3").mIndex = 107;
+  driver.Server("s1").mDown = true;
+  const auto promotion = RunToPromotion(driver, 4s);
+  REQUIRE(promotion);
+  CHECK(promotion->mServer == "s3");
+  CHECK(promotion->mHolder == "h1");
+  CHECK(promotion->mToken == 1);
+  CHECK(driver.Server("s2").mPausedBy != 0);
+  CHECK(driver.Server("s3").mPausedBy != 0);
+  driver.Deliver(PromoteAnswered{ promotion->mCall, CallOutcome::Ok });
+  driver.Server("s3").mPrimary = true;
+  driver.Server("s3").mTerm = 2;
+  driver.Server("s3").mPausedBy = 0;
+  driver.Run(500ms);
+  CHECK(driver.Server("s2").mPausedBy == 0);
+  CHECK(driver.mState.mCounters.mPromotions == 1);
+}
+
+TEST_CASE("A promotion waits until all evidence has run out", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  Instant pausedAt{};
+  for (int n = 0; n < 400 && !driver.Take<PromoteServer>(); ++n) {
+    driver.Run(10ms);
+    const bool paused =
+      driver.Server("s2").mPausedBy != 0 && driver.Server("s3").mPausedBy != 0;
+    if (paused && pausedAt == Instant{}) {
+      pausedAt = driver.mNow;
+    }
+  }
+  REQUIRE(pausedAt != Instant{});
+  CHECK(driver.mNow - pausedAt >= kLeaseTime);
+}
+
+TEST_CASE("Nobody is promoted while a replica cannot be reached", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  driver.Server("s2").mDown = true;
+  // s2 may hold the only copy of an acknowledged write.
+  CHECK_FALSE(RunToPromotion(driver, 8s));
+}
+
+TEST_CASE("A pause that is lost before the promotion is made again",
+          "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  while (driver.Server("s2").mPausedBy == 0 ||
+         driver.Server("s3").mPausedBy == 0) {
+    driver.Run(10ms);
+  }
+  driver.Run(kLeaseTime - 100ms);
+  driver.Server("s2").mPausedBy = 0;
+  const auto promotion = RunToPromotion(driver, 4s);
+  REQUIRE(promotion);
+  CHECK(driver.Server("s2").mPausedBy != 0);
+}
+
+TEST_CASE("A host without the lease promotes nobody", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.mState.mPromoter.mHeldUntil = Instant{};
+  driver.mState.mTimers.Cancel(TimerKind::PromoterLease, 0);
+  driver.Server("s1").mDown = true;
+  CHECK_FALSE(RunToPromotion(driver, 4s));
+  CHECK(driver.Server("s2").mPausedBy == 0);
+}
+
+TEST_CASE("A promoter stops when its lease is over", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  while (driver.Server("s2").mPausedBy == 0) {
+    driver.Run(10ms);
+  }
+  driver.mState.mPromoter.mHeldUntil = driver.mNow;
+  driver.mState.mTimers.Cancel(TimerKind::PromoterLease, 0);
+  CHECK_FALSE(RunToPromotion(driver, 4s));
+}
+
+TEST_CASE("The next promoter finishes what it finds paused", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s2").mPausedBy = 77;
+  driver.Server("s3").mPausedBy = 77;
+  const auto promotion = RunToPromotion(driver, 4s);
+  REQUIRE(promotion);
+  CHECK(promotion->mServer != "s1");
+}
+
+TEST_CASE("A single paused replica is resumed", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s2").mPausedBy = 77;
+  driver.Run(1s);
+  CHECK(driver.Server("s2").mPausedBy == 0);
+}
+
+TEST_CASE("A primary of an older term is told to step down", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s3").mPrimary = true;
+  driver.Server("s3").mTerm = 2;
+  driver.Run(1s);
+  CHECK_FALSE(driver.Server("s1").mPrimary);
+  CHECK(driver.mState.mGroups.begin()->second.mPrimary == IdOf<ServerId>("s3"));
+}
+
+TEST_CASE("The lease is renewed by its holder and given back at a stop",
+          "[Promoter]")
+{
+  GatewayDriver driver;
+  CHECK(driver.mState.mPromoter.mLease.mHolder == "h1");
+  const std::uint64_t token = driver.mState.mPromoter.mLease.mToken;
+  driver.Run(20s);
+  CHECK(driver.mState.mPromoter.mLease.mToken == token);
+  CHECK(driver.mNow < driver.mState.mPromoter.mHeldUntil);
+  driver.Deliver(StopRequested{});
+  const auto release = driver.Take<WriteLease>();
+  REQUIRE(release);
+  CHECK(release->mLease.mHolder.empty());
+  CHECK(driver.mNow >= driver.mState.mPromoter.mHeldUntil);
+}
+
+TEST_CASE("A lease that another host renews is not taken", "[Promoter]")
+{
+  GatewayDriver driver;
+  driver.mState.mPromoter.mHeldUntil = Instant{};
+  driver.mState.mPromoter.mCall = gateway::CallId{};
+  for (std::uint64_t n = 0; n < 10; ++n) {
+    TableAnswer answer;
+    answer.mCall = driver.mState.mCatalogue.mTables[2].mCall;
+    answer.mTable = Table::Fleet;
+    answer.mOutcome = CallOutcome::Ok;
+    answer.mStoreTime = driver.mNow.time_since_epoch();
+    answer.mLease = PromoterLease{ "h2", 9, 5, 1000 + n };
+    driver.Deliver(answer);
+    CHECK_FALSE(driver.Take<WriteLease>());
+    driver.Run(2s);
+  }
+  CHECK(driver.mState.mPromoter.mLease.mHolder == "h2");
+  // Nothing is renewed any more.
+  driver.Run(kPromoterLeaseTime + 1s);
+  CHECK(driver.mState.mPromoter.mLease.mHolder == "h1");
+  CHECK(driver.mState.mPromoter.mLease.mToken == 6);
+}
--- /dev/null
+++ b/Tests/Platform/RowsTest.cpp
@@ -0,0 +1,120 @@
+#include <catch2/catch.hpp>
+
+#include "platform/Json.h"
+#include "platform/Rows.h"
+
+using namespace camphorstep;
+using namespace camphorstep::gateway;
+using namespace camphorstep::platform;
+
+namespace {
+
+std::string
+Row(const std::string& aKey, const std::string& aValue)
+{
+  return R"({"Table":"t","part":"","Key":")" + aKey + R"(","Ver":7,"Value":")" +
+         WriteBase64(aValue) + R"("})";
+}
+
+std::string
+Body(const std::string& aRows)
+{
+  return R"({"rows":[)" + aRows + R"(],"Ver":9,"NowMs":1234})";
+}
+
+constexpr const char* kServer =
+  R"({"Service":"g","Address":"10.0.0.9:8080","Zone":"z","Capacity":5,)"
+  R"("State":"draining","DbRole":"primary","born":17,"Seq":4})";
+
+}
+
+TEST_CASE("Entries of servers are read, broken ones name nothing", "[Rows]")
+{
+  TableAnswer answer;
+  answer.mTable = Table::Servers;
+  ReadRows(Body(Row("i-1", kServer) + "," + Row("i-2", "not json") + "," +
+                Row("i-3", R"({"Service":5,"State":"ready"})") +
+                R"(,{"Table":"t","Key":"i-4","Ver":8,"Deleted":true})"),
+           answer);
+  CHECK(answer.mVersion == 9);
+  CHECK(answer.mStoreTime == std::chrono::milliseconds(1234));
+  REQUIRE(answer.mServers.size() == 4);
+  REQUIRE(answer.mServers[0].mEntry);
+  const ServerEntry& entry = *answer.mServers[0].mEntry;
+  CHECK(entry.mName == "i-1");
+  CHECK(entry.mGroup == "g");
+  CHECK(entry.mAddress == Address{ "10.0.0.9", 8080 });
+  CHECK(entry.mLeaving);
+  CHECK(entry.mPrimary);
+  CHECK(entry.mStartedAt == 17);
+  for (const std::size_t n : { 1U, 2U, 3U }) {
+    CHECK_FALSE(answer.mServers[n].mEntry);
+  }
+}
+
+TEST_CASE("A published configuration is read into routes", "[Rows]")
+{
+  TableAnswer answer;
+  ReadRows(
+    Body(
+      Row("config",
+          R"({"Version":7,"Routes":[{"Name":"r","Host":"db","Kind":)"
+          R"("bounded_staleness","TimeoutMs":1000,"TargetLatencyMs":500,)"
+          R"("Priority":2,"Service":"g","MaxStalenessMs":1500}],"Services":[)"
+          R"({"Name":"g","MaxConns":32}],"Limits":{"TxIdleMs":3000}})")),
+    answer);
+  REQUIRE(answer.mRouting);
+  CHECK(answer.mRouting->mVersion == 7);
+  REQUIRE(answer.mRouting->mRoutes.size() == 1);
+  const Route& route = answer.mRouting->mRoutes[0];
+  CHECK(route.mDatabase == "db");
+  CHECK(route.mGroup == "g");
+  CHECK(route.mFreshness == Freshness::MaxAge);
+  CHECK(route.mMaxAge == std::chrono::milliseconds(1500));
+  CHECK(route.mUrgency == 2);
+  CHECK(answer.mRouting->mGroups[0].mMaxConnections == 32);
+  CHECK(answer.mRouting->mTransactionIdleTimeout == std::chrono::seconds(3));
+}
+
+TEST_CASE("Entries of the fleet survive the way through the store", "[Rows]")
+{
+  const std::string host =
+    WriteHostTransaction({ "h1", { "10.0.0.1", 7440 }, "z", 42 });
+  const auto info = ParseJson(host);
+  const auto& put = info.getMember("Puts").getMember(0);
+  CHECK(TextOf(put, "Key") == "host/h1");
+  TableAnswer answer;
+  answer.mTable = Table::Fleet;
+  ReadRows(Body(Row("host/h1", *ReadBase64(*TextOf(put, "Value")))), answer);
+  REQUIRE(answer.mHosts.size() == 1);
+  REQUIRE(answer.mHosts[0].mEntry);
+  CHECK(answer.mHosts[0].mEntry->mIncarnation == 42);
+  const std::string lease = WriteLeaseTransaction({ "h1", 42, 3, 11 });
+  const auto transaction = ParseJson(lease);
+  const auto& condition = transaction.getMember("Precondition").getMember(0);
+  CHECK(NumberOf(condition, "Ver") == 11);
+  TableAnswer seen;
+  seen.mTable = Table::Fleet;
+  ReadRows(Body(Row("promoter",
+                    *ReadBase64(*TextOf(
+                      transaction.getMember("Puts").getMember(0), "Value")))),
+           seen);
+  REQUIRE(seen.mLease);
+  CHECK(seen.mLease->mHolder == "h1");
+  CHECK(seen.mLease->mToken == 3);
+  CHECK(seen.mLease->mRowVersion == 7);
+}
+
+TEST_CASE("Malformed answers of the store are refused as a whole", "[Rows]")
+{
+  for (const char* const body : { "", "x", "{}", R"({"rows":[]})" }) {
+    TableAnswer answer;
+    CHECK_THROWS(ReadRows(body, answer));
+  }
+}
+
+TEST_CASE("Base64 that cannot be read gives nothing", "[Rows]")
+{
+  CHECK(ReadBase64(WriteBase64("abc")) == "abc");
+  CHECK_FALSE(ReadBase64("***"));
+}
