--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -13,19 +13,32 @@
 
 namespace {
 
+/// With more than this many statements for each slot a server is crowded, and
+/// only the most urgent work goes on undiminished.
+constexpr std::uint32_t kCrowded = 2;
+
 /// How many statements of this host may run at a server when one more of a
-/// given urgency is to start.
+/// given urgency is to start. A server in another region is kept busy by
+/// twice as many, since as many again are on their way.
 std::uint32_t
-RunningLimit(const Backend& aBackend, std::uint32_t aUrgency)
+RunningLimit(const Context& aContext,
+             const Backend& aBackend,
+             std::uint32_t aUrgency)
 {
   const std::uint32_t slots = std::max(1U, aBackend.mEntry.mSlots);
+  const std::uint32_t most =
+    ProximityTo(aContext, aBackend) == Proximity::OtherRegion ? 2 * slots
+                                                              : slots;
+  // What all hosts have brought to the server, waiting or running there.
+  const std::uint32_t busy =
+    aBackend.mStatus ? aBackend.mStatus->mBusySlots : 0;
   switch (aUrgency) {
     case 0:
-      return 2 * slots;
+      return 2 * most;
     case 1:
-      return slots;
+      return busy > kCrowded * slots ? std::max(1U, most / 2) : most;
     default:
-      return std::max(1U, slots / 2);
+      return busy > kCrowded * slots ? 1 : std::max(1U, most / 2);
   }
 }
 
@@ -96,6 +109,22 @@
 
 }
 
+Proximity
+ProximityTo(const Context& aContext, const Backend& aBackend)
+{
+  const Identity& self = aContext.mState.mSelf;
+  const std::string& here = self.mEntry.mDataCentre;
+  const std::string& there = aBackend.mEntry.mDataCentre;
+  if (here == there) {
+    return Proximity::SameDataCentre;
+  }
+  const auto* const ours = Find(self.mRegions, here);
+  const auto* const theirs = Find(self.mRegions, there);
+  return ours != nullptr && theirs != nullptr && *ours == *theirs
+           ? Proximity::SameRegion
+           : Proximity::OtherRegion;
+}
+
 bool
 TakesNewWork(const Backend& aBackend, Instant aNow)
 {
@@ -134,7 +163,7 @@
 {
   while (!aBackend.mQueue.empty()) {
     const auto it = aBackend.mQueue.begin();
-    if (aBackend.mRunning >= RunningLimit(aBackend, it->first.mUrgency)) {
+    if (aBackend.mRunning >= RunningLimit(aContext, aBackend, it->first.mUrgency)) {
       return;
     }
     Session* const session = Find(aContext.mState.mSessions, it->second);
--- a/Source/Backend/Pool.h
+++ b/Source/Backend/Pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Gateway/Context.h"
+#include "Model/Topology.h"
 
 namespace camphorstep::gateway {
 
@@ -39,6 +40,9 @@
 /// Opens connections that wait for their time and closes idle ones.
 void MaintainPool(Context& aContext, Backend& aBackend);
 
+/// How near a server is to this host.
+Proximity ProximityTo(const Context& aContext, const Backend& aBackend);
+
 /// Whether a server may be given new work.
 bool TakesNewWork(const Backend& aBackend, Instant aNow);
 
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -37,7 +37,7 @@
 /// A connection that takes longer to open is given up.
 constexpr Duration kOpenTimeout = 1'000ms;
 /// An idle connection is closed after this time.
-constexpr Duration kIdleLinkTime = 15s;
+constexpr Duration kIdleLinkTime = 4s;
 
 /// How often one statement may be sent to servers while none has run it.
 constexpr std::uint32_t kMaxAttempts = 5;
--- a/Source/Session/Answers.cpp
+++ b/Source/Session/Answers.cpp
@@ -24,6 +24,26 @@
   return kRanks[std::min<std::size_t>(aActive.mPlace.mUrgency, kRankCount - 1)];
 }
 
+/// What this host knows of a server's load, for the log.
+void
+DescribeServer(const Context& aContext,
+               const Backend& aServer,
+               std::vector<LogValue>& aValues)
+{
+  aValues.push_back({ "server", aServer.mEntry.mName });
+  aValues.push_back({ "running", std::to_string(aServer.mRunning) });
+  aValues.push_back({ "queued", std::to_string(aServer.mQueue.size()) });
+  aValues.push_back({ "connections", std::to_string(aServer.mLinks.size()) });
+  if (aServer.mStatus) {
+    aValues.push_back(
+      { "busy_slots", std::to_string(aServer.mStatus->mBusySlots) });
+    aValues.push_back(
+      { "all_connections", std::to_string(aServer.mStatus->mConnections) });
+    aValues.push_back({ "status_age_ms",
+                        Milliseconds(aContext.mNow - aServer.mStatusAskedAt) });
+  }
+}
+
 /// What decided about a statement, for the log.
 std::vector<LogValue>
 Describe(const Context& aContext,
@@ -32,17 +52,20 @@
 {
   const Backend* const server =
     Find(aContext.mState.mBackends, aActive.mServer);
-  return {
+  std::vector<LogValue> values{
     { "request", aActive.mStatement.mId },
     { "session", std::to_string(aSession.mId.mValue) },
     { "database", aSession.mDatabase },
     { "urgency", std::to_string(aActive.mPlace.mUrgency) },
-    { "server", server == nullptr ? "" : server->mEntry.mName },
     { "attempts", std::to_string(aActive.mAttempts) },
     { "age_ms", Milliseconds(aContext.mNow - aActive.mArrivedAt) },
     { "configuration",
       std::to_string(aContext.mState.mCatalogue.mRoutingVersion) },
   };
+  if (server != nullptr) {
+    DescribeServer(aContext, *server, values);
+  }
+  return values;
 }
 
 void
--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -34,17 +34,15 @@
 Duration
 DistanceCost(const Context& aContext, const Backend& aBackend)
 {
-  const Identity& self = aContext.mState.mSelf;
-  const std::string& here = self.mEntry.mDataCentre;
-  const std::string& there = aBackend.mEntry.mDataCentre;
-  if (here == there) {
-    return Duration{ 0 };
-  }
-  const auto* const ours = Find(self.mRegions, here);
-  const auto* const theirs = Find(self.mRegions, there);
-  const bool sameRegion =
-    ours != nullptr && theirs != nullptr && *ours == *theirs;
-  return sameRegion ? kOtherDataCentreCost : kOtherRegionCost;
+  switch (ProximityTo(aContext, aBackend)) {
+    case Proximity::SameDataCentre:
+      return Duration{ 0 };
+    case Proximity::SameRegion:
+      return kOtherDataCentreCost;
+    case Proximity::OtherRegion:
+      break;
+  }
+  return kOtherRegionCost;
 }
 
 bool
