Group: Ask one nearby replica for most of the evidence

A host now asks the primary and the nearest replica every 400 ms, the others every third round; the host that holds the promoter's lease asks all. Hosts read the servers' entries every 2 s, the promoter every second. A test on real sockets found that a refused connection was taken for a silent one, since cxxtools gives no errno; it counts as a dead server's answer now.

--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -42,6 +42,13 @@
   return aTable == Table::Servers;
 }
 
+Duration
+PollInterval(const Context& aContext)
+{
+  return HoldsPromoterLease(aContext) ? kPromoterPollInterval
+                                      : kServerPollInterval;
+}
+
 void
 NoteReachability(Context& aContext,
                  TableProgress& aProgress,
@@ -163,7 +170,7 @@
   ApplyRows(aContext, aAnswer);
   ArmPoll(aContext,
           aAnswer.mTable,
-          IsCollected(aAnswer.mTable) ? kServerPollInterval : Duration{ 0 });
+          IsCollected(aAnswer.mTable) ? PollInterval(aContext) : Duration{ 0 });
   UpdateReadiness(aContext);
 }
 
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -16,7 +16,7 @@
 constexpr Duration kLeaseMargin = 50ms;
 
 /// How often the servers of a group are asked for their status.
-constexpr Duration kSampleInterval = 300ms;
+constexpr Duration kSampleInterval = 400ms;
 /// The same while the primary is in doubt or being changed.
 constexpr Duration kUrgentSampleInterval = 100ms;
 /// A status request that takes longer means a silent connection.
@@ -46,8 +46,9 @@
 /// What a refused caller is told to wait.
 constexpr Duration kRetryHint = 300ms;
 
-/// Between two reads of the servers' entries.
-constexpr Duration kServerPollInterval = 1'000ms;
+/// Between two reads of the servers' entries, on the promoter and on others.
+constexpr Duration kPromoterPollInterval = 1'000ms;
+constexpr Duration kServerPollInterval = 2'000ms;
 /// How long the store may hold a call that waits for a change.
 constexpr Duration kFollowWait = 8s;
 /// Before a failed call to the store is made again.
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -5,6 +5,7 @@
 
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
+#include "Group/Promoter.h"
 #include "Group/Takeover.h"
 #include "Session/Routing.h"
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+/// Every so many rounds all replicas are asked.
+constexpr std::uint64_t kFullRound = 3;
+
 /// Whether a replica's status shows that it follows the group's primary and
 /// that nobody has paused it.
 bool
@@ -119,6 +123,35 @@
   }
 }
 
+/// The replica that bears witness for the primary: the nearest that does.
+ServerId
+NearestReplica(const Context& aContext, const Group& aGroup)
+{
+  ServerId nearest;
+  Proximity best = Proximity::OtherRegion;
+  for (const ServerId id : aGroup.mServers) {
+    const Backend* const backend = Find(aContext.mState.mBackends, id);
+    if (backend == nullptr || id == aGroup.mPrimary ||
+        !SupportsPrimary(*backend, aGroup)) {
+      continue;
+    }
+    const Proximity proximity = ProximityTo(aContext, *backend);
+    if (!nearest || proximity < best) {
+      nearest = id;
+      best = proximity;
+    }
+  }
+  return nearest;
+}
+
+/// Whether the primary is proved and stays.
+bool
+IsCalm(Context& aContext, const Group& aGroup)
+{
+  return ProvenPrimary(aContext, aGroup) != nullptr &&
+         aGroup.mTakeover.mPhase == TakeoverPhase::None;
+}
+
 /// Replaces a control connection that does not answer.
 void
 ReplaceSilentControl(Context& aContext, Backend& aBackend)
@@ -238,14 +271,19 @@
 void
 SampleGroup(Context& aContext, Group& aGroup)
 {
+  const bool wasCalm = IsCalm(aContext, aGroup);
+  const ServerId witness = NearestReplica(aContext, aGroup);
+  const bool isFullRound = ++aGroup.mRounds % kFullRound == 0;
   for (const ServerId id : aGroup.mServers) {
-    if (Backend* const backend = Find(aContext.mState.mBackends, id)) {
+    Backend* const backend = Find(aContext.mState.mBackends, id);
+    const bool isNeeded = id == aGroup.mPrimary || id == witness;
+    if (backend != nullptr &&
+        (isNeeded || isFullRound || !wasCalm || HoldsPromoterLease(aContext))) {
       SampleServer(aContext, *backend);
     }
   }
   AdvanceTakeover(aContext, aGroup);
-  const bool isCalm = ProvenPrimary(aContext, aGroup) != nullptr &&
-                      aGroup.mTakeover.mPhase == TakeoverPhase::None;
+  const bool isCalm = IsCalm(aContext, aGroup);
   aContext.mState.mTimers.ArmSooner(
     TimerKind::SampleGroup,
     aGroup.mId.mValue,
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -76,6 +76,8 @@
   ServerId mPrimary;
   Term mTerm = 0;
   std::deque<PositionSample> mSamples;
+  /// Rounds of status requests so far.
+  std::uint64_t mRounds = 0;
   /// Since when the primary is ahead of all replicas and none moves on.
   std::optional<Instant> mAheadSince;
   /// Since when no server claims to lead.
--- a/Source/Shell/StreamSocket.cpp
+++ b/Source/Shell/StreamSocket.cpp
@@ -140,11 +140,9 @@
     mConnected = true;
     Prepare();
     mSocket.beginRead(mReadBuffer.data(), mReadBuffer.size());
-  } catch (const cxxtools::SystemError& ex) {
-    Fail(IsAnswer(ex.getErrno()));
-    return;
   } catch (const std::exception&) {
-    Fail(false);
+    // Silence ends in the owner's time limit, so this is a refusal.
+    Fail(true);
     return;
   }
   mHandlers.mOnConnected();
--- a/Tests/Gateway/GatewayDriver.cpp
+++ b/Tests/Gateway/GatewayDriver.cpp
@@ -204,7 +204,7 @@
 GatewayDriver::NextStatement()
 {
   Settle();
-  while (const auto send = Take<SendOnLink>()) {
+  while (auto send = Take<SendOnLink>()) {
     const BackendVerb verb = send->mRequest.mVerb;
     if (verb != BackendVerb::SetValue && verb != BackendVerb::Reset &&
         verb != BackendVerb::Prepare && verb != BackendVerb::Rollback) {
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -14,7 +14,7 @@
 {
   for (Duration passed{ 0 }; passed < aTime; passed += 10ms) {
     aDriver.Run(10ms);
-    if (const auto promotion = aDriver.Take<PromoteServer>()) {
+    if (auto promotion = aDriver.Take<PromoteServer>()) {
       return promotion;
     }
   }
