Tests: Prove the path on a stand-in of the platform

The test drives the real runtime and adapter: sessions, prepared names, transactions, a new configuration, the death of a primary. JSON of the store is checked for depth like callers' bodies: the library's parser has no limit.

--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -163,7 +163,8 @@
 {
   while (!aBackend.mQueue.empty()) {
     const auto it = aBackend.mQueue.begin();
-    if (aBackend.mRunning >= RunningLimit(aContext, aBackend, it->first.mUrgency)) {
+    if (aBackend.mRunning >=
+        RunningLimit(aContext, aBackend, it->first.mUrgency)) {
       return;
     }
     Session* const session = Find(aContext.mState.mSessions, it->second);
--- a/Tests/Platform/RowsTest.cpp
+++ b/Tests/Platform/RowsTest.cpp
@@ -113,6 +113,15 @@
   }
 }
 
+TEST_CASE("An entry that is nested without end names nothing", "[Rows]")
+{
+  TableAnswer answer;
+  answer.mTable = Table::Servers;
+  ReadRows(Body(Row("i-1", std::string(40'000, '['))), answer);
+  REQUIRE(answer.mServers.size() == 1);
+  CHECK_FALSE(answer.mServers[0].mEntry);
+}
+
 TEST_CASE("Base64 that cannot be read gives nothing", "[Rows]")
 {
   CHECK(ReadBase64(WriteBase64("abc")) == "abc");
--- /dev/null
+++ b/Tests/Platform/Standin/GroupStandin.cpp
@@ -0,0 +1,270 @@
+#include "GroupStandin.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/WireText.h"
+
+namespace camphorstep::standin {
+
+namespace {
+
+using platform::SplitMessage;
+using platform::TakeField;
+using platform::WireMessage;
+
+const std::string kDone = "COMPLETE -\r\n";
+constexpr int kBacklog = 64;
+
+std::string
+Error(const std::string& aWord)
+{
+  return "ERROR " + aWord + " refused\r\n";
+}
+
+}
+
+GroupStandin::GroupStandin(cxxtools::SelectorBase& aLoop,
+                           std::string aName,
+                           const std::vector<Address>& aAddresses)
+  : mName(std::move(aName))
+{
+  for (std::size_t n = 0; n < aAddresses.size(); ++n) {
+    mServers.push_back(std::make_unique<Server>(
+      *this, aLoop, "i-" + mName + std::to_string(n), aAddresses[n]));
+  }
+  mServers.front()->mPrimary = true;
+}
+
+std::string
+GroupStandin::NameOf(std::size_t aServer) const
+{
+  return mServers[aServer]->mName;
+}
+
+bool
+GroupStandin::Promote(const std::string& aServer)
+{
+  for (const auto& server : mServers) {
+    if (server->mName != aServer || server->mDown) {
+      continue;
+    }
+    if (!server->mPrimary) {
+      server->mPrimary = true;
+      ++server->mTerm;
+      server->mPausedBy = 0;
+    }
+    return true;
+  }
+  return false;
+}
+
+void
+GroupStandin::Kill(std::size_t aServer)
+{
+  Server& server = *mServers[aServer];
+  server.mDown = true;
+  server.mListener.close();
+  for (const auto& connection : server.mConnections) {
+    connection->mLines->Socket().Close();
+  }
+}
+
+bool
+GroupStandin::Replicate(
+  Server& aPrimary,
+  const std::vector<std::pair<std::string, std::string>>& aWrites)
+{
+  bool received = false;
+  for (const auto& server : mServers) {
+    if (server.get() == &aPrimary || server->mDown || server->mPausedBy != 0) {
+      continue;
+    }
+    received = true;
+    server->mTerm = aPrimary.mTerm;
+    server->mIndex = aPrimary.mIndex;
+    for (const auto& [item, data] : aWrites) {
+      server->mData[item] = data;
+    }
+  }
+  return received;
+}
+
+GroupStandin::Server::Server(GroupStandin& aGroup,
+                             cxxtools::SelectorBase& aLoop,
+                             std::string aName,
+                             const Address& aAddress)
+  : mGroup(aGroup)
+  , mLoop(aLoop)
+  , mName(std::move(aName))
+  , mListener(aAddress.mIp, aAddress.mPort, kBacklog)
+{
+  cxxtools::connect(mListener.connectionPending, *this, &Server::OnPending);
+  mListener.setSelector(mLoop);
+}
+
+void
+GroupStandin::Server::OnPending(cxxtools::net::TcpServer& aListener)
+{
+  mConnections.push_back(std::make_unique<Connection>());
+  Connection* const connection = mConnections.back().get();
+  connection->mLines = std::make_unique<platform::LineConnection>(
+    platform::LineConnection::Handlers{
+      [] {},
+      [this, connection](std::string_view aLine) {
+        Handle(*connection, aLine);
+      },
+      [](bool) {} });
+  connection->mLines->Socket().Accept(mLoop, aListener);
+}
+
+void
+GroupStandin::Server::Handle(Connection& aConnection, std::string_view aLine)
+{
+  const WireMessage message = SplitMessage(aLine);
+  if (message.mWord == "STARTUP") {
+    std::string_view rest = message.mRest;
+    const std::string_view group = TakeField(rest);
+    TakeField(rest);
+    const bool good = group == mGroup.mName && (rest.empty() || rest == mName);
+    aConnection.mStarted = good;
+    aConnection.mLines->Socket().Append(
+      good ? "READY I " + PositionText() + "\r\n" : Error("MISROUTED"));
+  } else if (message.mWord == "QUERY" && aConnection.mStarted) {
+    HandleQuery(aConnection, message.mRest);
+  }
+  aConnection.mLines->Socket().Flush();
+}
+
+void
+GroupStandin::Server::HandleQuery(Connection& aConnection,
+                                  std::string_view aFields)
+{
+  const std::string id(TakeField(aFields));
+  const std::string answer = Run(aConnection, id, aFields);
+  aConnection.mLines->Socket().Append(answer + "READY " +
+                                      std::string(1, aConnection.mState) + " " +
+                                      PositionText() + "\r\n");
+}
+
+std::string
+GroupStandin::Server::Run(Connection& aConnection,
+                          const std::string& aId,
+                          std::string_view aText)
+{
+  WireMessage message = SplitMessage(aText);
+  if (message.mWord == "AFTER") {
+    TakeField(message.mRest);
+    message = SplitMessage(message.mRest);
+  }
+  if (message.mWord == "BEGIN") {
+    if (message.mRest.empty() && !mPrimary) {
+      return Error("READONLY");
+    }
+    aConnection.mState = 'T';
+    return kDone;
+  }
+  if (message.mWord == "COMMIT" || message.mWord == "ROLLBACK") {
+    return End(aConnection, message.mWord == "COMMIT", aId);
+  }
+  if (message.mWord == "SET") {
+    aConnection.mValues[std::string(TakeField(message.mRest))] = message.mRest;
+    return kDone;
+  }
+  if (message.mWord == "RESET") {
+    aConnection.mValues.clear();
+    aConnection.mPrepared.clear();
+    return kDone;
+  }
+  if (message.mWord == "PREPARE") {
+    const std::string name(TakeField(message.mRest));
+    aConnection.mPrepared[name] = TakeField(message.mRest) == "WRITE";
+    return kDone;
+  }
+  if (message.mWord == "EXECUTE") {
+    const auto it =
+      aConnection.mPrepared.find(std::string(TakeField(message.mRest)));
+    return it == aConnection.mPrepared.end()
+             ? Error("NOSUCHSTMT")
+             : RunStatement(aConnection, aId, it->second, message.mRest);
+  }
+  if (message.mWord == "READ" || message.mWord == "WRITE") {
+    return RunStatement(
+      aConnection, aId, message.mWord == "WRITE", message.mRest);
+  }
+  return Control(message.mWord, message.mRest);
+}
+
+std::string
+GroupStandin::Server::RunStatement(Connection& aConnection,
+                                   const std::string& aId,
+                                   bool aWrites,
+                                   std::string_view aArguments)
+{
+  const std::string item(TakeField(aArguments));
+  // An item "x@v" is only to be touched by sessions whose value "who" is v.
+  const std::size_t at = item.find('@');
+  if (at != std::string::npos &&
+      aConnection.mValues["who"] != item.substr(at + 1)) {
+    mGroup.mViolations.push_back(item);
+  }
+  if (!aWrites) {
+    return "ROW " + mData[item] + "\r\nCOMPLETE sig-" + aId + "\r\n";
+  }
+  if (!mPrimary) {
+    return Error("READONLY");
+  }
+  aConnection.mWrites.emplace_back(item, std::string(aArguments));
+  if (aConnection.mState == 'T') {
+    return "COMPLETE sig-" + aId + "\r\n";
+  }
+  return End(aConnection, true, aId);
+}
+
+std::string
+GroupStandin::Server::End(Connection& aConnection,
+                          bool aCommit,
+                          const std::string& aId)
+{
+  const auto writes = std::exchange(aConnection.mWrites, {});
+  aConnection.mState = 'I';
+  if (!aCommit || writes.empty()) {
+    return aCommit ? "COMPLETE sig-" + aId + "\r\n" : kDone;
+  }
+  if (!mPrimary) {
+    return Error("READONLY");
+  }
+  ++mIndex;
+  for (const auto& [item, data] : writes) {
+    mData[item] = data;
+    ++mGroup.mEffects[item];
+  }
+  mGroup.Replicate(*this, writes);
+  return "COMPLETE sig-" + aId + "\r\n";
+}
+
+std::string
+GroupStandin::Server::Control(std::string_view aWord, std::string_view aRest)
+{
+  if (aWord == "PAUSE" && !mPrimary) {
+    mPausedBy = std::stoull(std::string(aRest));
+  } else if (aWord == "RESUME") {
+    mPausedBy = 0;
+  } else if (aWord == "STEPDOWN") {
+    mPrimary = false;
+  } else if (aWord != "STATUS") {
+    return Error("MALFORMED");
+  }
+  return std::string("ROW ") + (mPrimary ? "primary " : "replica ") +
+         std::to_string(mTerm) + " " + PositionText() + " " +
+         std::to_string(mPausedBy) + " 0 0 " +
+         std::to_string(mConnections.size()) + "\r\n" + kDone;
+}
+
+std::string
+GroupStandin::Server::PositionText() const
+{
+  return std::to_string(mTerm) + "." + std::to_string(mIndex);
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/Standin/HttpStandin.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include <cxxtools/connectable.h>
+#include <cxxtools/net/tcpserver.h>
+
+#include "Shell/StreamSocket.h"
+
+namespace camphorstep::standin {
+
+/// A request to a stand-in of the platform.
+struct HttpRequest
+{
+  /// The connection, for the answer.
+  std::uint64_t mClient = 0;
+  std::string mPath;
+  std::map<std::string, std::string> mParameters;
+  std::string mBody;
+};
+
+/// Serves HTTP on an event loop; answers may be given later.
+class HttpStandin : public cxxtools::Connectable
+{
+public:
+  using Handler = std::function<void(const HttpRequest&)>;
+
+  HttpStandin(cxxtools::SelectorBase& aLoop,
+              const Address& aAddress,
+              Handler aHandler);
+
+  void Answer(std::uint64_t aClient,
+              unsigned aStatus,
+              const std::string& aBody);
+
+private:
+  struct Client
+  {
+    std::unique_ptr<StreamSocket> mSocket;
+    std::string mInput;
+  };
+
+  void OnPending(cxxtools::net::TcpServer& aListener);
+  void HandleData(std::uint64_t aClient, std::string_view aBytes);
+
+  cxxtools::SelectorBase& mLoop;
+  Handler mHandler;
+  cxxtools::net::TcpServer mListener;
+  std::uint64_t mLastClient = 0;
+  /// Connections are kept until the stand-in ends.
+  std::unordered_map<std::uint64_t, Client> mClients;
+};
+
+}
--- /dev/null
+++ b/Tests/Platform/Standin/SiteStandin.cpp
@@ -0,0 +1,130 @@
+#include "SiteStandin.h"
+
+#include <future>
+#include <utility>
+
+#include "platform/Json.h"
+
+namespace camphorstep::standin {
+
+namespace {
+
+constexpr const char* kIp = "127.0.0.1";
+constexpr int kFirstServerPort = 2;
+constexpr std::size_t kServers = 3;
+constexpr unsigned kOk = 200;
+constexpr unsigned kConflict = 409;
+
+class WakeEvent : public cxxtools::BasicEvent<WakeEvent>
+{};
+
+std::string
+ServerEntryText(const std::string& aAddress)
+{
+  return R"({"Service":"records","Address":")" + aAddress +
+         R"(","Zone":"a","Version":"v1","Capacity":5,"State":"ready",)"
+         R"("WarmupLeftMs":0,"DbRole":"replica","Seq":1,"born":1})";
+}
+
+std::string
+RouteText(const std::string& aDatabase, bool aPrimary)
+{
+  return R"({"Name":"r-)" + aDatabase + R"(","Host":")" + aDatabase +
+         R"(","Prefix":"/","Kind":")" +
+         (aPrimary ? "primary" : "bounded_staleness") +
+         R"(","TimeoutMs":4000,"TargetLatencyMs":4000,"Priority":0,)"
+         R"("Service":"records","MaxAttempts":2,"MaxStalenessMs":1500})";
+}
+
+}
+
+SiteStandin::SiteStandin(std::uint16_t aFirstPort)
+  : mFirstPort(aFirstPort)
+  , mStore(mLoop, At(0))
+  , mPromotions(
+      mLoop,
+      At(1),
+      [this](const HttpRequest& aRequest) { HandlePromotion(aRequest); })
+  , mGroup(mLoop,
+           "records",
+           { At(kFirstServerPort),
+             At(kFirstServerPort + 1),
+             At(kFirstServerPort + 2) })
+{
+  for (std::size_t n = 0; n < kServers; ++n) {
+    const Address address = At(kFirstServerPort + static_cast<int>(n));
+    mStore.Put(
+      "servers",
+      mGroup.NameOf(n),
+      ServerEntryText(address.mIp + ":" + std::to_string(address.mPort)));
+  }
+  mStore.Put("servers", "i-stranger", "not an entry");
+  cxxtools::connect(mLoop.event, *this, &SiteStandin::OnWake);
+  mThread = std::thread([this] { mLoop.run(); });
+}
+
+SiteStandin::~SiteStandin()
+{
+  Do([this] { mLoop.exit(); });
+  mThread.join();
+}
+
+void
+SiteStandin::Do(const std::function<void()>& aAction)
+{
+  std::promise<void> done;
+  {
+    const std::lock_guard lock(mMutex);
+    mActions.push_back([&] {
+      aAction();
+      done.set_value();
+    });
+  }
+  mLoop.commitEvent(WakeEvent());
+  done.get_future().wait();
+}
+
+void
+SiteStandin::Publish(std::uint64_t aVersion,
+                     const std::vector<std::string>& aDatabases)
+{
+  std::string routes;
+  for (const std::string& database : aDatabases) {
+    routes += routes.empty() ? "" : ",";
+    routes += RouteText(database, database == aDatabases.front());
+  }
+  const std::string text =
+    "{\"Version\":" + std::to_string(aVersion) + ",\"Routes\":[" + routes +
+    R"(],"Services":[{"Name":"records","MaxConns":32,"SyncReplicas":1}],)"
+    R"("Limits":{"TxIdleMs":3000}})";
+  Do([&] { mStore.Put("op", "config", text); });
+}
+
+Address
+SiteStandin::At(int aOffset) const
+{
+  return { kIp, static_cast<std::uint16_t>(mFirstPort + aOffset) };
+}
+
+void
+SiteStandin::HandlePromotion(const HttpRequest& aRequest)
+{
+  const auto order = platform::ParseJson(aRequest.mBody);
+  const bool good = mGroup.Promote(*platform::TextOf(order, "Id"));
+  mPromotions.Answer(aRequest.mClient, good ? kOk : kConflict, "{}");
+}
+
+void
+SiteStandin::OnWake(const cxxtools::Event&)
+{
+  std::vector<std::function<void()>> actions;
+  {
+    const std::lock_guard lock(mMutex);
+    std::swap(actions, mActions);
+  }
+  for (const auto& action : actions) {
+    action();
+  }
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <cxxtools/eventloop.h>
+
+#include "GroupStandin.h"
+#include "StoreStandin.h"
+
+namespace camphorstep::standin {
+
+/// A small site on loopback addresses: the platform's store and promotions,
+/// and one group of three backend servers, in a thread of its own.
+class SiteStandin : public cxxtools::Connectable
+{
+public:
+  /// Uses the ports from a first one on.
+  explicit SiteStandin(std::uint16_t aFirstPort);
+  ~SiteStandin();
+
+  SiteStandin(const SiteStandin&) = delete;
+  SiteStandin& operator=(const SiteStandin&) = delete;
+
+  Address StoreAddress() const { return At(0); }
+  Address PromotionAddress() const { return At(1); }
+
+  /// Runs a function in the site's thread and waits for it.
+  void Do(const std::function<void()>& aAction);
+
+  /// Publishes a configuration with the given database names, which have
+  /// bounded staleness, the first excepted, which needs the primary.
+  void Publish(std::uint64_t aVersion,
+               const std::vector<std::string>& aDatabases);
+
+  GroupStandin& Group() { return mGroup; }
+
+private:
+  Address At(int aOffset) const;
+  void HandlePromotion(const HttpRequest& aRequest);
+  void OnWake(const cxxtools::Event& aEvent);
+
+  std::uint16_t mFirstPort;
+  cxxtools::EventLoop mLoop;
+  StoreStandin mStore;
+  HttpStandin mPromotions;
+  GroupStandin mGroup;
+  std::mutex mMutex;
+  std::vector<std::function<void()>> mActions;
+  std::thread mThread;
+};
+
+}
--- /dev/null
+++ b/Tests/Platform/Standin/StoreStandin.cpp
@@ -0,0 +1,162 @@
+#include "StoreStandin.h"
+
+#include <utility>
+
+#include "platform/Json.h"
+
+namespace camphorstep::standin {
+
+namespace {
+
+constexpr double kTimerMs = 20.0;
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kConditionFailed = 412;
+
+std::string
+Parameter(const HttpRequest& aRequest, const std::string& aName)
+{
+  const auto it = aRequest.mParameters.find(aName);
+  return it == aRequest.mParameters.end() ? "" : it->second;
+}
+
+std::int64_t
+SteadyMilliseconds()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::steady_clock::now().time_since_epoch())
+    .count();
+}
+
+}
+
+StoreStandin::StoreStandin(cxxtools::SelectorBase& aLoop,
+                           const Address& aAddress)
+  : mHttp(aLoop, aAddress, [this](const HttpRequest& aRequest) {
+    Handle(aRequest);
+  })
+{
+  mTimer.setSelector(aLoop);
+  cxxtools::connect(mTimer.timeout, *this, &StoreStandin::OnTimer);
+  mTimer.start(cxxtools::Milliseconds(kTimerMs));
+}
+
+void
+StoreStandin::Put(const std::string& aTable,
+                  const std::string& aKey,
+                  const std::string& aValue)
+{
+  ++mVersion;
+  PutEncoded(aTable, aKey, platform::WriteBase64(aValue));
+  AnswerWatches();
+}
+
+void
+StoreStandin::PutEncoded(const std::string& aTable,
+                         const std::string& aKey,
+                         const std::string& aValue)
+{
+  mRows[{ aTable, aKey }] = { aTable, aKey, aValue, mVersion };
+}
+
+void
+StoreStandin::Handle(const HttpRequest& aRequest)
+{
+  const std::string table = Parameter(aRequest, "Table");
+  if (aRequest.mPath == "/rows-get") {
+    mHttp.Answer(aRequest.mClient, kOk, Rows(table, 0, false));
+  } else if (aRequest.mPath == "/rows-feed") {
+    const auto wait =
+      std::chrono::milliseconds(std::stoll(Parameter(aRequest, "WaitMs")));
+    mWatches.push_back({ aRequest.mClient,
+                         table,
+                         std::stoull(Parameter(aRequest, "after")),
+                         Clock::now() + wait });
+    AnswerWatches();
+  } else if (aRequest.mPath == "/rows-tx") {
+    HandleTransaction(aRequest);
+  } else {
+    mHttp.Answer(aRequest.mClient, kNotFound, "{}");
+  }
+}
+
+void
+StoreStandin::HandleTransaction(const HttpRequest& aRequest)
+{
+  const auto body = platform::ParseJson(aRequest.mBody);
+  for (const auto& condition : body.getMember("Precondition")) {
+    const auto it = mRows.find({ *platform::TextOf(condition, "Table"),
+                                 *platform::TextOf(condition, "Key") });
+    const bool exists = it != mRows.end() && !it->second.mValue.empty();
+    const std::uint64_t version = exists ? it->second.mVersion : 0;
+    if (static_cast<std::uint64_t>(*platform::NumberOf(condition, "Ver")) !=
+        version) {
+      mHttp.Answer(aRequest.mClient, kConditionFailed, R"({"rows":[]})");
+      return;
+    }
+  }
+  ++mVersion;
+  for (const auto& put : body.getMember("Puts")) {
+    PutEncoded(*platform::TextOf(put, "Table"),
+               *platform::TextOf(put, "Key"),
+               *platform::TextOf(put, "Value"));
+  }
+  for (const auto& drop : body.getMember("Deletes")) {
+    PutEncoded(
+      *platform::TextOf(drop, "Table"), *platform::TextOf(drop, "Key"), "");
+  }
+  mHttp.Answer(aRequest.mClient,
+               kOk,
+               "{\"Ver\":" + std::to_string(mVersion) +
+                 ",\"NowMs\":" + std::to_string(SteadyMilliseconds()) + "}");
+  AnswerWatches();
+}
+
+std::string
+StoreStandin::Rows(const std::string& aTable,
+                   std::uint64_t aAfter,
+                   bool aWithDropped) const
+{
+  std::string rows;
+  for (const auto& [key, row] : mRows) {
+    const bool isDropped = row.mValue.empty();
+    if (row.mTable != aTable || row.mVersion <= aAfter ||
+        (isDropped && !aWithDropped)) {
+      continue;
+    }
+    rows += rows.empty() ? "" : ",";
+    rows += "{\"Table\":\"" + row.mTable + "\",\"part\":\"\",\"Key\":\"" +
+            row.mKey + "\",\"Ver\":" + std::to_string(row.mVersion) +
+            (isDropped ? std::string(",\"Deleted\":true}")
+                       : ",\"Value\":\"" + row.mValue + "\"}");
+  }
+  return "{\"rows\":[" + rows +
+         "],\"MorePages\":false,\"Ver\":" + std::to_string(mVersion) +
+         ",\"NowMs\":" + std::to_string(SteadyMilliseconds()) + "}";
+}
+
+void
+StoreStandin::OnTimer()
+{
+  AnswerWatches();
+}
+
+void
+StoreStandin::AnswerWatches()
+{
+  std::vector<Watch> waiting;
+  for (const Watch& watch : std::exchange(mWatches, {})) {
+    const std::string rows = Rows(watch.mTable, watch.mAfter, true);
+    const bool hasChange = rows.find("\"rows\":[]") == std::string::npos;
+    if (hasChange || Clock::now() >= watch.mEnd) {
+      mHttp.Answer(watch.mClient, kOk, rows);
+    } else {
+      waiting.push_back(watch);
+    }
+  }
+  for (const Watch& watch : waiting) {
+    mWatches.push_back(watch);
+  }
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/Standin/StoreStandin.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <cxxtools/timer.h>
+
+#include "HttpStandin.h"
+
+namespace camphorstep::standin {
+
+/// The platform's store: rows in tables, conditional transactions and a feed
+/// of changes.
+class StoreStandin : public cxxtools::Connectable
+{
+public:
+  StoreStandin(cxxtools::SelectorBase& aLoop, const Address& aAddress);
+
+  /// Writes a row from the side, as operators and servers do.
+  void Put(const std::string& aTable,
+           const std::string& aKey,
+           const std::string& aValue);
+
+private:
+  using Clock = std::chrono::steady_clock;
+
+  struct Row
+  {
+    std::string mTable;
+    std::string mKey;
+    /// Base64; empty for a row that was dropped.
+    std::string mValue;
+    std::uint64_t mVersion = 0;
+  };
+
+  /// A feed call that waits for a change.
+  struct Watch
+  {
+    std::uint64_t mClient = 0;
+    std::string mTable;
+    std::uint64_t mAfter = 0;
+    Clock::time_point mEnd;
+  };
+
+  void Handle(const HttpRequest& aRequest);
+  void HandleTransaction(const HttpRequest& aRequest);
+  void PutEncoded(const std::string& aTable,
+                  const std::string& aKey,
+                  const std::string& aValue);
+  std::string Rows(const std::string& aTable,
+                   std::uint64_t aAfter,
+                   bool aWithDropped) const;
+  void OnTimer();
+  void AnswerWatches();
+
+  HttpStandin mHttp;
+  cxxtools::Timer mTimer;
+  std::map<std::pair<std::string, std::string>, Row> mRows;
+  std::uint64_t mVersion = 0;
+  std::vector<Watch> mWatches;
+};
+
+}
