Group: Let the promoter share the servers' statuses with all hosts

Hosts now ask the holder of the promoter's lease over TCP every 250 ms; a status counts from the query's sending less the age that the report states, so the proof of a primary is as sound as an own one. A host that is told nothing asks the servers itself. In the query hosts name the servers that are silent to them; a primary that is silent to half of the hosts is replaced.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -70,6 +70,8 @@
   Instant mStatusAskedAt;
   /// When the server was last heard on any connection.
   Instant mHeardAt;
+  /// When a connection to it was last given up for silence.
+  Instant mSilentAt;
   /// Openings in a row that the server's machine has refused.
   std::uint32_t mRefusals = 0;
   Position mApplied;
--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -298,6 +298,7 @@
           "backend server did not take a connection in time",
           { { "server", aBackend.mEntry.mName } });
       aBackend.mOpenAfter = aContext.mNow + kOpenRetryDelay;
+      aBackend.mSilentAt = aContext.mNow;
     }
     if (isStuck || isIdle) {
       DropLink(aContext, id);
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -7,6 +7,7 @@
 
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
+#include "Gateway/PeerMessage.h"
 #include "Gateway/StoreRecord.h"
 #include "Messages/Effect.h"
 #include "Model/Topology.h"
@@ -114,6 +115,19 @@
   std::uint64_t mToken = 0;
 };
 
+/// Asks another host; a StatusReport follows.
+struct AskPeer
+{
+  Address mAddress;
+  StatusQuery mQuery;
+};
+
+struct AnswerPeer
+{
+  PeerLinkId mLink;
+  StatusReport mReport;
+};
+
 /// Whether the balancer is to send new callers here.
 struct SetReady
 {
@@ -134,6 +148,8 @@
                             RemoveHostEntry,
                             WriteLease,
                             PromoteServer,
+                            AskPeer,
+                            AnswerPeer,
                             SetReady,
                             StopComplete,
                             WriteLogRecord>;
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -7,6 +7,7 @@
 
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
+#include "Gateway/PeerMessage.h"
 #include "Gateway/Statement.h"
 #include "Gateway/StoreRecord.h"
 
@@ -72,6 +73,13 @@
   CallOutcome mOutcome = CallOutcome::Unknown;
 };
 
+/// Another host asks for the servers' statuses.
+struct PeerAsked
+{
+  PeerLinkId mLink;
+  StatusQuery mQuery;
+};
+
 /// The settings file has changed.
 struct SettingsChanged
 {
@@ -97,6 +105,8 @@
                                TableAnswer,
                                StoreWritten,
                                PromoteAnswered,
+                               PeerAsked,
+                               StatusReport,
                                SettingsChanged,
                                StopRequested,
                                TimePassed>;
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -52,6 +52,7 @@
   std::map<GroupId, Group> mGroups;
   Catalogue mCatalogue;
   PromoterState mPromoter;
+  StatusSharing mSharing;
   Counters mCounters;
 };
 
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -8,6 +8,7 @@
 #include "Gateway/Stopping.h"
 #include "Group/Evidence.h"
 #include "Group/Promoter.h"
+#include "Group/Sharing.h"
 #include "Group/Takeover.h"
 #include "Session/Execution.h"
 #include "Session/Sessions.h"
@@ -57,6 +58,14 @@
   {
     HandlePromoteAnswered(mContext, aEvent);
   }
+  void operator()(const PeerAsked& aEvent) const
+  {
+    HandlePeerAsked(mContext, aEvent);
+  }
+  void operator()(const StatusReport& aEvent) const
+  {
+    HandlePeerReported(mContext, aEvent);
+  }
   void operator()(const SettingsChanged& aEvent) const
   {
     mContext.mState.mSelf.mRegions = aEvent.mRegions;
@@ -99,6 +108,9 @@
     case TimerKind::PromoterLease:
       MaintainPromoterLease(aContext);
       break;
+    case TimerKind::AskPromoter:
+      AskPromoter(aContext);
+      break;
     case TimerKind::Stop:
       ContinueStop(aContext);
       break;
@@ -115,6 +127,7 @@
   }
   aState.mTimers.Arm(TimerKind::RegisterHost, 0, aNow);
   aState.mTimers.Arm(TimerKind::PromoterLease, 0, aNow);
+  aState.mTimers.Arm(TimerKind::AskPromoter, 0, aNow);
 }
 
 std::vector<Effect>
--- a/Source/Gateway/Timers.h
+++ b/Source/Gateway/Timers.h
@@ -26,6 +26,7 @@
   PollTable,
   RegisterHost,
   PromoterLease,
+  AskPromoter,
   Stop,
 };
 
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -16,7 +16,12 @@
 constexpr Duration kLeaseMargin = 50ms;
 
 /// How often the servers of a group are asked for their status.
-constexpr Duration kSampleInterval = 400ms;
+constexpr Duration kSampleInterval = 250ms;
+/// How often a host asks the promoter for the servers' statuses.
+constexpr Duration kShareInterval = 250ms;
+/// A host asks servers itself when the proof of the primary that it was told
+/// is about to end.
+constexpr Duration kOwnSampleLead = 300ms;
 /// The same while the primary is in doubt or being changed.
 constexpr Duration kUrgentSampleInterval = 100ms;
 /// A status request that takes longer means a silent connection.
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-/// Every so many rounds all replicas are asked.
-constexpr std::uint64_t kFullRound = 3;
-
 /// Whether a replica's status shows that it follows the group's primary and
 /// that nobody has paused it.
 bool
@@ -90,14 +87,16 @@
     aGroup.mAheadSince.reset();
     return;
   }
-  Position furthest;
+  // The index counts on across terms; a new primary has a new term before it
+  // has written anything.
+  std::uint64_t furthest = 0;
   for (const ServerId id : aGroup.mServers) {
     const Backend* const backend = Find(aContext.mState.mBackends, id);
     if (backend != nullptr && backend != primary && backend->mStatus) {
-      furthest = std::max(furthest, backend->mStatus->mReceived);
+      furthest = std::max(furthest, backend->mStatus->mReceived.mIndex);
     }
   }
-  if (primary->mStatus->mReceived <= furthest ||
+  if (primary->mStatus->mReceived.mIndex <= furthest ||
       furthest > aGroup.mFurthestReplica) {
     aGroup.mAheadSince.reset();
   } else if (!aGroup.mAheadSince) {
@@ -123,25 +122,15 @@
   }
 }
 
-/// The replica that bears witness for the primary: the nearest that does.
-ServerId
-NearestReplica(const Context& aContext, const Group& aGroup)
+/// Closes a control connection that has not been needed for a while.
+void
+CloseUnusedControl(Context& aContext, const Backend& aBackend)
 {
-  ServerId nearest;
-  Proximity best = Proximity::OtherRegion;
-  for (const ServerId id : aGroup.mServers) {
-    const Backend* const backend = Find(aContext.mState.mBackends, id);
-    if (backend == nullptr || id == aGroup.mPrimary ||
-        !SupportsPrimary(*backend, aGroup)) {
-      continue;
-    }
-    const Proximity proximity = ProximityTo(aContext, *backend);
-    if (!nearest || proximity < best) {
-      nearest = id;
-      best = proximity;
-    }
+  const Link* const link = Find(aContext.mState.mLinks, aBackend.mControlLink);
+  if (link != nullptr && link->mReady && link->mExchanges.empty() &&
+      aContext.mNow - aBackend.mHeardAt > kIdleLinkTime) {
+    DropLink(aContext, aBackend.mControlLink);
   }
-  return nearest;
 }
 
 /// Whether the primary is proved and stays.
@@ -171,6 +160,7 @@
       "control connection is silent; replacing it",
       { { "server", aBackend.mEntry.mName },
         { "silent_ms", Milliseconds(aContext.mNow - aBackend.mHeardAt) } });
+  aBackend.mSilentAt = aContext.mNow;
   DropLink(aContext, aBackend.mControlLink);
 }
 
@@ -250,10 +240,18 @@
                   const BackendReply& aReply,
                   Instant aAskedAt)
 {
-  if (!aReply.mStatus) {
-    return;
+  if (aReply.mStatus) {
+    TakeStatus(aContext, aBackend, *aReply.mStatus, aAskedAt);
   }
-  aBackend.mStatus = aReply.mStatus;
+}
+
+void
+TakeStatus(Context& aContext,
+           Backend& aBackend,
+           const BackendStatus& aStatus,
+           Instant aAskedAt)
+{
+  aBackend.mStatus = aStatus;
   aBackend.mStatusAskedAt = aAskedAt;
   Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
   if (group == nullptr) {
@@ -271,14 +269,18 @@
 void
 SampleGroup(Context& aContext, Group& aGroup)
 {
-  const bool wasCalm = IsCalm(aContext, aGroup);
-  const ServerId witness = NearestReplica(aContext, aGroup);
-  const bool isFullRound = ++aGroup.mRounds % kFullRound == 0;
+  const bool isPromoter = HoldsPromoterLease(aContext);
+  const bool isTold =
+    !isPromoter && IsCalm(aContext, aGroup) &&
+    EvidenceEnd(aContext, aGroup) - aContext.mNow > kOwnSampleLead;
   for (const ServerId id : aGroup.mServers) {
     Backend* const backend = Find(aContext.mState.mBackends, id);
-    const bool isNeeded = id == aGroup.mPrimary || id == witness;
-    if (backend != nullptr &&
-        (isNeeded || isFullRound || !wasCalm || HoldsPromoterLease(aContext))) {
+    if (backend == nullptr) {
+      continue;
+    }
+    if (isTold) {
+      CloseUnusedControl(aContext, *backend);
+    } else {
       SampleServer(aContext, *backend);
     }
   }
--- a/Source/Group/Evidence.h
+++ b/Source/Group/Evidence.h
@@ -27,6 +27,12 @@
                        const BackendReply& aReply,
                        Instant aAskedAt);
 
+/// Takes a server's status into account, which was asked for at a time.
+void TakeStatus(Context& aContext,
+                Backend& aBackend,
+                const BackendStatus& aStatus,
+                Instant aAskedAt);
+
 /// Asks all servers of a group, and sets the time for the next round.
 void SampleGroup(Context& aContext, Group& aGroup);
 
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -40,6 +41,7 @@
 {
   NoPrimary,
   Silent,
+  SilentToMany,
   Leaving,
   NotReplicating,
   Interrupted,
@@ -62,6 +64,16 @@
   Instant mCallAfter;
 };
 
+/// What hosts tell each other of the servers.
+struct StatusSharing
+{
+  /// Queries sent so far, and when the last one was.
+  std::uint64_t mQueries = 0;
+  Instant mAskedAt;
+  /// Which hosts last found a server silent, and when they said so.
+  std::map<ServerId, std::map<std::string, Instant>> mSilentTo;
+};
+
 /// A replicated group of backend servers.
 struct Group
 {
@@ -76,13 +88,11 @@
   ServerId mPrimary;
   Term mTerm = 0;
   std::deque<PositionSample> mSamples;
-  /// Rounds of status requests so far.
-  std::uint64_t mRounds = 0;
   /// Since when the primary is ahead of all replicas and none moves on.
   std::optional<Instant> mAheadSince;
   /// Since when no server claims to lead.
   std::optional<Instant> mNoPrimarySince;
-  Position mFurthestReplica;
+  std::uint64_t mFurthestReplica = 0;
   /// Sessions whose statement no server may take at the moment.
   std::set<SessionId> mHeld;
   Takeover mTakeover;
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -8,6 +8,7 @@
 #include "Group/Evidence.h"
 #include "Group/Fencing.h"
 #include "Group/Promoter.h"
+#include "Group/Sharing.h"
 
 namespace camphorstep::gateway {
 
@@ -21,6 +22,8 @@
 constexpr std::array kReasonNames{
   EnumName<TakeoverReason>{ TakeoverReason::NoPrimary, "no server leads" },
   EnumName<TakeoverReason>{ TakeoverReason::Silent, "primary is silent" },
+  EnumName<TakeoverReason>{ TakeoverReason::SilentToMany,
+                            "primary is silent to half of the hosts" },
   EnumName<TakeoverReason>{ TakeoverReason::Leaving, "primary is leaving" },
   EnumName<TakeoverReason>{ TakeoverReason::NotReplicating,
                             "primary reaches no replica" },
@@ -56,6 +59,9 @@
   if (IsDown(aContext, aPrimary)) {
     return TakeoverReason::Silent;
   }
+  if (IsSilentToMany(aContext, aPrimary.mId)) {
+    return TakeoverReason::SilentToMany;
+  }
   if (aPrimary.mLeavingSince && HasSuccessor(aContext, aGroup)) {
     return TakeoverReason::Leaving;
   }
--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -75,7 +75,9 @@
   if (aActive.mAvoid == aBackend.mId) {
     cost += kAvoidedCost;
   }
-  if (aContext.mNow - aBackend.mHeardAt > kStatusTimeout + kSampleInterval) {
+  const Instant known = std::max(aBackend.mHeardAt, aBackend.mStatusAskedAt);
+  if (aContext.mNow - known > kLeaseTime ||
+      aBackend.mSilentAt > aBackend.mHeardAt) {
     cost += kSilentCost;
   }
   return cost;
--- /dev/null
+++ b/Source/Shell/GatewayPeers.cpp
@@ -0,0 +1,170 @@
+#include "Shell/GatewayPeers.h"
+
+#include <exception>
+#include <utility>
+
+#include "Common/Log.h"
+#include "Wire/Codec.h"
+
+namespace camphorstep {
+
+namespace {
+
+constexpr int kBacklog = 128;
+constexpr std::size_t kMaxIncoming = 4'096;
+/// After so many queries without an answer the connection is replaced, since
+/// it may have gone silent.
+constexpr int kMaxUnanswered = 4;
+/// How long closed connections may wait to be freed.
+constexpr double kCollectMilliseconds = 50.0;
+
+}
+
+GatewayPeers::GatewayPeers(cxxtools::SelectorBase& aLoop,
+                           GatewaySink& aSink,
+                           const Address& aAddress)
+  : mLoop(aLoop)
+  , mSink(aSink)
+  , mListener(aAddress.mIp, aAddress.mPort, kBacklog)
+{
+  cxxtools::connect(
+    mListener.connectionPending, *this, &GatewayPeers::OnPending);
+  mListener.setSelector(mLoop);
+  mCollector.setSelector(mLoop);
+  cxxtools::connect(mCollector.timeout, *this, &GatewayPeers::OnCollect);
+}
+
+void
+GatewayPeers::Carry(const gateway::AskPeer& aEffect)
+{
+  const bool isElsewhere = !(aEffect.mAddress == mOutgoingAddress);
+  if (isElsewhere || mUnanswered >= kMaxUnanswered) {
+    CloseOutgoing();
+  }
+  if (!mOutgoing) {
+    OpenOutgoing(aEffect.mAddress);
+  }
+  ++mUnanswered;
+  if (mOutgoing) {
+    mOutgoing->Send(Encode(gateway::PeerMessage(aEffect.mQuery)));
+  }
+}
+
+void
+GatewayPeers::Carry(const gateway::AnswerPeer& aEffect)
+{
+  const auto it = mIncoming.find(aEffect.mLink);
+  if (it != mIncoming.end()) {
+    it->second->Send(Encode(gateway::PeerMessage(aEffect.mReport)));
+  }
+}
+
+void
+GatewayPeers::OnPending(cxxtools::net::TcpServer& aListener)
+{
+  const gateway::PeerLinkId id{ ++mLastIncoming };
+  FramedConnection::Handlers handlers;
+  handlers.mOnConnected = [] {};
+  handlers.mOnFrame = [this, id](const std::string& aPayload) {
+    HandleQuery(id, aPayload);
+  };
+  handlers.mOnClosed = [this, id] { RemoveIncoming(id); };
+  auto connection = std::make_unique<FramedConnection>(std::move(handlers));
+  try {
+    connection->Accept(mLoop, aListener);
+  } catch (const std::exception& ex) {
+    WriteLog(LogLevel::Warning,
+             "could not accept a host's connection",
+             { { "error", ex.what() } });
+    return;
+  }
+  if (mIncoming.size() >= kMaxIncoming) {
+    connection->Close();
+    return;
+  }
+  mIncoming.emplace(id, std::move(connection));
+}
+
+void
+GatewayPeers::OnCollect()
+{
+  mRetired.clear();
+}
+
+void
+GatewayPeers::HandleQuery(gateway::PeerLinkId aLink,
+                          const std::string& aPayload)
+{
+  try {
+    const auto message = Decode<gateway::PeerMessage>(aPayload);
+    if (const auto* const query = std::get_if<gateway::StatusQuery>(&message)) {
+      mSink.Deliver(gateway::PeerAsked{ aLink, *query });
+    }
+  } catch (const DecodeError& ex) {
+    WriteLog(LogLevel::Warning,
+             "host sent a malformed message; closing the connection",
+             { { "error", ex.what() } });
+    RemoveIncoming(aLink);
+  }
+}
+
+void
+GatewayPeers::HandleReport(const std::string& aPayload)
+{
+  try {
+    const auto message = Decode<gateway::PeerMessage>(aPayload);
+    mUnanswered = 0;
+    if (const auto* const report =
+          std::get_if<gateway::StatusReport>(&message)) {
+      mSink.Deliver(*report);
+    }
+  } catch (const DecodeError& ex) {
+    WriteLog(LogLevel::Warning,
+             "host sent a malformed report; closing the connection",
+             { { "error", ex.what() } });
+    CloseOutgoing();
+  }
+}
+
+void
+GatewayPeers::RemoveIncoming(gateway::PeerLinkId aLink)
+{
+  const auto it = mIncoming.find(aLink);
+  if (it != mIncoming.end()) {
+    Retire(std::move(it->second));
+    mIncoming.erase(it);
+  }
+}
+
+void
+GatewayPeers::OpenOutgoing(const Address& aAddress)
+{
+  FramedConnection::Handlers handlers;
+  handlers.mOnConnected = [] {};
+  handlers.mOnFrame = [this](const std::string& aPayload) {
+    HandleReport(aPayload);
+  };
+  handlers.mOnClosed = [this] { CloseOutgoing(); };
+  mOutgoingAddress = aAddress;
+  mUnanswered = 0;
+  mOutgoing = std::make_unique<FramedConnection>(std::move(handlers));
+  mOutgoing->Connect(mLoop, aAddress);
+}
+
+void
+GatewayPeers::CloseOutgoing()
+{
+  if (mOutgoing) {
+    Retire(std::move(mOutgoing));
+  }
+}
+
+void
+GatewayPeers::Retire(std::unique_ptr<FramedConnection> aConnection)
+{
+  aConnection->Close();
+  mRetired.push_back(std::move(aConnection));
+  mCollector.after(cxxtools::Milliseconds(kCollectMilliseconds));
+}
+
+}
--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -75,6 +75,7 @@
   , mMetrics(mLoop,
              mSettings.mMetricsAddress,
              [this](const std::string& aPath) { return AnswerMetrics(aPath); })
+  , mPeers(mLoop, *this, mSettings.mPeerAddress)
   , mAdapter(aFactory(mSettings, mLoop, *this))
 {
   cxxtools::connect(mLoop.event, *this, &GatewayRuntime::OnWake);
@@ -144,6 +145,12 @@
 {
   if (const auto* const record = std::get_if<WriteLogRecord>(&aEffect)) {
     WriteRecord(*record);
+  } else if (const auto* const query =
+               std::get_if<gateway::AskPeer>(&aEffect)) {
+    mPeers.Carry(*query);
+  } else if (const auto* const answer =
+               std::get_if<gateway::AnswerPeer>(&aEffect)) {
+    mPeers.Carry(*answer);
   } else if (std::holds_alternative<StopComplete>(aEffect)) {
     mAdapter->Flush();
     mLoop.exit();
--- a/Source/Shell/GatewayRuntime.h
+++ b/Source/Shell/GatewayRuntime.h
@@ -14,18 +14,12 @@
 #include "Gateway/Event.h"
 #include "Gateway/State.h"
 #include "Settings/GatewaySettings.h"
+#include "Shell/GatewayPeers.h"
+#include "Shell/GatewaySink.h"
 #include "Shell/HttpResponder.h"
 
 namespace camphorstep {
 
-/// Takes events for the gateway's core, on the thread of its event loop.
-class GatewaySink
-{
-public:
-  virtual ~GatewaySink() = default;
-  virtual void Deliver(gateway::EventBody aEvent) = 0;
-};
-
 /// Speaks with callers, backend servers and the platform for the core.
 class GatewayAdapter
 {
@@ -93,6 +87,7 @@
   Instant mTimerDue = Instant::max();
   HttpResponder mReadiness;
   HttpResponder mMetrics;
+  GatewayPeers mPeers;
   std::unique_ptr<GatewayAdapter> mAdapter;
   std::deque<gateway::EventBody> mEvents;
   bool mStepping = false;
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -45,6 +45,29 @@
   CHECK(driver.mState.mCounters.mPromotions == 1);
 }
 
+TEST_CASE("A new primary that has written nothing yet is kept", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  const auto promotion = RunToPromotion(driver, 4s);
+  REQUIRE(promotion);
+  driver.Deliver(PromoteAnswered{ promotion->mCall, CallOutcome::Ok });
+  GatewayDriver::FakeServer& successor = driver.Server(promotion->mServer);
+  successor.mPrimary = true;
+  successor.mTerm = 2;
+  successor.mPausedBy = 0;
+  CHECK_FALSE(RunToPromotion(driver, 5s));
+}
+
+TEST_CASE("A primary whose writes reach no replica is replaced", "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s1").mIndex = 110;
+  const auto promotion = RunToPromotion(driver, 5s);
+  REQUIRE(promotion);
+  CHECK_FALSE(driver.Server("s1").mPrimary);
+}
+
 TEST_CASE("A promotion waits until all evidence has run out", "[Takeover]")
 {
   GatewayDriver driver;
--- a/Tests/Platform/PathTest.cpp
+++ b/Tests/Platform/PathTest.cpp
@@ -166,7 +166,7 @@
     }
     CHECK(answer.starts_with("ROW two\n"));
     CHECK(caller->Query("WRITE item three").starts_with("COMPLETE"));
-    CHECK(caller->mReady.starts_with("READY I 2."));
+    CHECK_THAT(caller->mReady, Catch::StartsWith("READY I 2."));
   }
   SECTION("A database without a route is refused")
   {
--- a/Tests/Platform/Standin/SiteStandin.h
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -21,7 +21,7 @@
 public:
   /// Uses the ports from a first one on.
   explicit SiteStandin(std::uint16_t aFirstPort);
-  ~SiteStandin();
+  ~SiteStandin() override;
 
   SiteStandin(const SiteStandin&) = delete;
   SiteStandin& operator=(const SiteStandin&) = delete;
