--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -61,6 +61,19 @@
          aBackend.mStatus->mConnections + 1 >= group->mRules.mMaxConnections;
 }
 
+/// How long a connection to the server may be idle before it is closed.
+Duration
+IdleLinkTime(const Context& aContext, const Backend& aBackend)
+{
+  const Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
+  if (group == nullptr || !aBackend.mStatus) {
+    return kIdleLinkTime;
+  }
+  const bool isScarce = 100 * aBackend.mStatus->mConnections >=
+                        kScarcePercent * group->mRules.mMaxConnections;
+  return isScarce ? kScarceIdleLinkTime : kIdleLinkTime;
+}
+
 /// Finds the idle connection that needs the least preparation, or nullptr.
 Link*
 BestIdleLink(Context& aContext,
@@ -231,8 +244,10 @@
     DropLink(aContext, aLink.mId);
     return;
   }
-  aContext.mState.mTimers.ArmSooner(
-    TimerKind::Pool, backend->mId.mValue, aContext.mNow + kIdleLinkTime);
+  aContext.mState.mTimers.ArmSooner(TimerKind::Pool,
+                                    backend->mId.mValue,
+                                    aContext.mNow +
+                                      IdleLinkTime(aContext, *backend));
   DispatchQueue(aContext, *backend);
 }
 
@@ -289,9 +304,9 @@
     }
     const bool isStuck =
       !link->mReady && aContext.mNow - link->mOpenedAt >= kOpenTimeout;
-    const bool isIdle = link->mReady && !link->mSession &&
-                        link->mExchanges.empty() &&
-                        aContext.mNow - link->mIdleSince >= kIdleLinkTime;
+    const bool isIdle =
+      link->mReady && !link->mSession && link->mExchanges.empty() &&
+      aContext.mNow - link->mIdleSince >= IdleLinkTime(aContext, aBackend);
     if (isStuck) {
       Log(aContext,
           LogSeverity::Warning,
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -43,6 +43,10 @@
 constexpr Duration kOpenTimeout = 1'000ms;
 /// An idle connection is closed after this time.
 constexpr Duration kIdleLinkTime = 4s;
+/// The same at a server whose connections are nearly used up.
+constexpr Duration kScarceIdleLinkTime = 150ms;
+/// Connections are scarce when so many percent of them are used.
+constexpr std::uint32_t kScarcePercent = 70;
 
 /// How often one statement may be sent to servers while none has run it.
 constexpr std::uint32_t kMaxAttempts = 5;
