Catalogue: Read the store less where the promoter is heard

Hosts that hear the promoter look at both tables every 3 s, others and the promoter itself every second, and at once when the promoter falls silent.

--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -9,6 +9,7 @@
 #include "Gateway/Readiness.h"
 #include "Gateway/Tuning.h"
 #include "Group/Promoter.h"
+#include "Group/Sharing.h"
 
 namespace camphorstep::gateway {
 
@@ -34,19 +35,20 @@
                                     aContext.mNow + aDelay);
 }
 
-/// Servers write their entries all the time, so changes are collected; the
-/// other tables change rarely and are waited for.
+/// Servers and the promoter write their rows all the time, so these changes
+/// are collected; the operator's are rare and are waited for.
 bool
 IsCollected(Table aTable)
 {
-  return aTable == Table::Servers;
+  return aTable != Table::Operator;
 }
 
 Duration
-PollInterval(const Context& aContext)
+PollInterval(const Context& aContext, Table aTable)
 {
-  return HoldsPromoterLease(aContext) ? kPromoterPollInterval
-                                      : kServerPollInterval;
+  const bool acts = HoldsPromoterLease(aContext) && aTable == Table::Servers;
+  const bool isTold = HoldsPromoterLease(aContext) || HearsPromoter(aContext);
+  return isTold && !acts ? kFollowerPollInterval : kPollInterval;
 }
 
 void
@@ -137,6 +139,12 @@
                     waits ? kFollowWait : Duration{ 0 } });
 }
 
+void
+HastenPoll(Context& aContext, Table aTable)
+{
+  ArmPoll(aContext, aTable, Duration{ 0 });
+}
+
 void
 RereadTable(Context& aContext, Table aTable)
 {
@@ -170,7 +178,8 @@
   ApplyRows(aContext, aAnswer);
   ArmPoll(aContext,
           aAnswer.mTable,
-          IsCollected(aAnswer.mTable) ? PollInterval(aContext) : Duration{ 0 });
+          IsCollected(aAnswer.mTable) ? PollInterval(aContext, aAnswer.mTable)
+                                      : Duration{ 0 });
   UpdateReadiness(aContext);
 }
 
--- a/Source/Catalogue/Tables.h
+++ b/Source/Catalogue/Tables.h
@@ -11,6 +11,9 @@
 /// Reads a table, or asks for its changes, unless that is underway.
 void PollTable(Context& aContext, Table aTable);
 
+/// Has a table's changes asked for now.
+void HastenPoll(Context& aContext, Table aTable);
+
 /// Has a table read as a whole.
 void RereadTable(Context& aContext, Table aTable);
 
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -55,9 +55,13 @@
 /// What a refused caller is told to wait.
 constexpr Duration kRetryHint = 300ms;
 
-/// Between two reads of the servers' entries, on the promoter and on others.
-constexpr Duration kPromoterPollInterval = 1'000ms;
-constexpr Duration kServerPollInterval = 2'000ms;
+/// Between two reads of the servers' entries on the promoter, which acts on
+/// them first, and of any table on a host that hears no promoter.
+constexpr Duration kPollInterval = 1'000ms;
+/// Between two reads on a host that hears the promoter.
+constexpr Duration kFollowerPollInterval = 3'000ms;
+/// A promoter that has not answered for longer may be gone.
+constexpr Duration kPromoterSilence = 800ms;
 /// How long the store may hold a call that waits for a change.
 constexpr Duration kFollowWait = 8s;
 /// Before a failed call to the store is made again.
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -70,6 +70,9 @@
   /// Queries sent so far, and when the last one was.
   std::uint64_t mQueries = 0;
   Instant mAskedAt;
+  /// When the promoter's last report came.
+  Instant mReportedAt;
+  bool mHearsPromoter = false;
   /// Which hosts last found a server silent, and when they said so.
   std::map<ServerId, std::map<std::string, Instant>> mSilentTo;
 };
--- a/Source/Group/Sharing.cpp
+++ b/Source/Group/Sharing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Catalogue/Tables.h"
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
 #include "Group/Promoter.h"
@@ -44,6 +45,23 @@
   return report;
 }
 
+/// Looks at the store at once when the promoter falls silent.
+void
+NoteSilentPromoter(Context& aContext)
+{
+  StatusSharing& sharing = aContext.mState.mSharing;
+  if (sharing.mHearsPromoter && !HearsPromoter(aContext)) {
+    sharing.mHearsPromoter = false;
+    Log(aContext,
+        LogSeverity::Info,
+        "the promoter is silent",
+        { { "holder", aContext.mState.mPromoter.mLease.mHolder },
+          { "silent_ms", Milliseconds(aContext.mNow - sharing.mReportedAt) } });
+    HastenPoll(aContext, Table::Fleet);
+    HastenPoll(aContext, Table::Servers);
+  }
+}
+
 BackendStatus
 StatusOf(const ServerReport& aReport)
 {
@@ -65,6 +83,7 @@
 {
   State& state = aContext.mState;
   state.mTimers.Arm(TimerKind::AskPromoter, 0, aContext.mNow + kShareInterval);
+  NoteSilentPromoter(aContext);
   const HostEntry* const promoter =
     Find(state.mCatalogue.mHosts, state.mPromoter.mLease.mHolder);
   if (promoter == nullptr || promoter->mName == state.mSelf.mEntry.mName) {
@@ -103,7 +122,11 @@
 void
 HandlePeerReported(Context& aContext, const StatusReport& aReport)
 {
-  const StatusSharing& sharing = aContext.mState.mSharing;
+  StatusSharing& sharing = aContext.mState.mSharing;
+  if (!aReport.mServers.empty()) {
+    sharing.mReportedAt = aContext.mNow;
+    sharing.mHearsPromoter = true;
+  }
   if (aReport.mNumber != sharing.mQueries) {
     // The age of a late report's statuses is not known.
     return;
@@ -120,6 +143,13 @@
   }
 }
 
+bool
+HearsPromoter(const Context& aContext)
+{
+  return aContext.mNow - aContext.mState.mSharing.mReportedAt <
+         kPromoterSilence;
+}
+
 bool
 IsSilentToMany(const Context& aContext, ServerId aServer)
 {
