--- a/Source/Gateway/Stopping.cpp
+++ b/Source/Gateway/Stopping.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Duration kStopLookInterval = 100ms;
+/// A caller that prepares a session sends its next statement within this.
+constexpr Duration kPreparationPause = 300ms;
 
 /// Whether a part of the time for the stop is over.
 bool
@@ -120,9 +122,11 @@
       aSession.mTransaction.mState != TransactionState::None) {
     return;
   }
-  // A session that has just been opened gets to send its first statement.
-  const bool isOld = aSession.mOpenedAt <= aContext.mState.mStop.mStartedAt;
-  if (isOld || aSession.mStatements > 0 || RefusesNewSessions(aContext)) {
+  // A statement that is on its way would get no answer.
+  const bool expectsStatement =
+    aSession.mIsPreparing &&
+    aContext.mNow - aSession.mIdleSince < kPreparationPause;
+  if (!expectsStatement) {
     CloseNow(aContext, aSession.mId);
   }
 }
--- a/Source/Session/Answers.cpp
+++ b/Source/Session/Answers.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "Gateway/Tuning.h"
+#include "Session/Routing.h"
 
 namespace camphorstep::gateway {
 
@@ -52,10 +53,12 @@
 {
   const Backend* const server =
     Find(aContext.mState.mBackends, aActive.mServer);
+  const Route* const route = RouteOf(aContext, aSession);
   std::vector<LogValue> values{
     { "request", aActive.mStatement.mId },
     { "session", std::to_string(aSession.mId.mValue) },
     { "database", aSession.mDatabase },
+    { "group", route == nullptr ? "" : route->mGroup },
     { "urgency", std::to_string(aActive.mPlace.mUrgency) },
     { "attempts", std::to_string(aActive.mAttempts) },
     { "age_ms", Milliseconds(aContext.mNow - aActive.mArrivedAt) },
--- a/Source/Session/SessionState.h
+++ b/Source/Session/SessionState.h
@@ -97,7 +97,6 @@
 struct Session
 {
   SessionId mId;
-  Instant mOpenedAt;
   std::string mDatabase;
   std::map<std::string, std::string> mValues;
   std::map<std::string, PreparedStatement> mPrepared;
@@ -108,7 +107,11 @@
   std::optional<ActiveStatement> mActive;
   /// Statements that arrived before the answer to the active one.
   std::deque<Statement> mPipeline;
-  std::uint64_t mStatements = 0;
+  /// Whether the caller seems to be about to send a statement: it has opened
+  /// the session or prepared something, and nothing has run since.
+  bool mIsPreparing = true;
+  /// Since when it waits for the caller.
+  Instant mIdleSince;
 };
 
 }
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -148,7 +148,9 @@
                Session& aSession,
                const Statement& aStatement)
 {
-  ++aSession.mStatements;
+  aSession.mIsPreparing = aStatement.mKind == StatementKind::SetValue ||
+                          aStatement.mKind == StatementKind::Prepare ||
+                          aStatement.mKind == StatementKind::Deallocate;
   aContext.mState.mTimers.Cancel(TimerKind::IdleTransaction,
                                  aSession.mId.mValue);
   if (AnswerForState(aContext, aSession, aStatement) ||
@@ -191,7 +193,7 @@
   }
   Session session;
   session.mId = aEvent.mSession;
-  session.mOpenedAt = aContext.mNow;
+  session.mIdleSince = aContext.mNow;
   session.mDatabase = aEvent.mDatabase;
   aContext.mState.mSessions.emplace(session.mId, std::move(session));
   ++aContext.mState.mCounters.mSessions;
@@ -232,6 +234,7 @@
   if (session == nullptr || session->mActive) {
     return;
   }
+  session->mIdleSince = aContext.mNow;
   if (session->mTransaction.mState == TransactionState::Open) {
     aContext.mState.mTimers.Arm(
       TimerKind::IdleTransaction,
--- a/Tests/Gateway/StoppingTest.cpp
+++ b/Tests/Gateway/StoppingTest.cpp
@@ -11,6 +11,7 @@
 {
   GatewayDriver driver;
   driver.OpenSession(1, "main");
+  driver.Run(1s);
   driver.OpenSession(2, "main");
   driver.Send(2, StatementKind::Begin);
   driver.Send(2, StatementKind::Write);
@@ -47,6 +48,23 @@
   CHECK(driver.Take<StopComplete>());
 }
 
+TEST_CASE("A stop waits for the statement that a session is prepared for",
+          "[GatewayStop]")
+{
+  GatewayDriver driver;
+  driver.Deliver(StopRequested{});
+  driver.OpenSession(1, "main");
+  driver.Send(1, StatementKind::SetValue, "zone", "UTC");
+  driver.Run(100ms);
+  CHECK_FALSE(driver.Take<CloseSession>());
+  driver.Send(1, StatementKind::Read);
+  driver.Reply(*driver.NextStatement());
+  CHECK(driver.Take<CloseSession>());
+  driver.OpenSession(2, "main");
+  driver.Run(400ms);
+  CHECK(driver.Take<CloseSession>());
+}
+
 TEST_CASE("New sessions during a stop are served until the balancer knows",
           "[GatewayStop]")
 {
