--- a/Source/Gateway/StoreRecord.h
+++ b/Source/Gateway/StoreRecord.h
@@ -72,8 +72,6 @@
   std::uint32_t mSlots = 5;
   bool mLeaving = false;
   bool mPrimary = false;
-  /// How much longer the server is slow after its start.
-  Duration mWarmup{ 0 };
   /// When the server started: milliseconds since 1970, UTC, by its clock.
   std::uint64_t mStartedAt = 0;
 };
