--- a/Source/Standin/PlatformServer.h
+++ b/Source/Standin/PlatformServer.h
@@ -6,8 +6,7 @@
 
 namespace camphorstep {
 
-/// Serves the platform's interface (docs/TABLE-SERVICE.md) on one address and,
-/// on
+/// Serves the table service (docs/TABLE-SERVICE.md) on one address and, on
 /// another, the page with which tests steer it:
 ///   /control?down=0|1&slow_ms=N&lost_before=PERCENT&lost_after=PERCENT
 ///           &seed=N&hosts_lag_ms=N
--- a/Source/Wire/StoreJson.h
+++ b/Source/Wire/StoreJson.h
@@ -13,7 +13,7 @@
   bool mCommitted = false;
 };
 
-// The JSON bodies of the platform's interface, as docs/TABLE-SERVICE.md describes
+// The JSON bodies of the table service, as docs/TABLE-SERVICE.md describes
 // them. Reading throws std::exception on malformed text.
 
 std::string ToJson(const StoreQuery& aQuery);
