Fuzz: Catch a host at the moment of its acknowledgement

It shows only if a host stops between its decision to acknowledge a write and the sending, for longer than a change of primary takes, with a write that no replica has: three things that random commands rarely bring together.

Change: a command has a caller write whose profile is content with the primary alone, and stops the host and the primary's machine when the acknowledgement is about to leave.

--- a/Tests/Fuzz/Commands.cpp
+++ b/Tests/Fuzz/Commands.cpp
@@ -51,6 +51,8 @@
   CommandRow{ CommandKind::CutOffServer, "CutOffServer", 2 },
   CommandRow{ CommandKind::IsolateCentre, "IsolateCentre", 6 },
   CommandRow{ CommandKind::FreezeCentre, "FreezeCentre", 3 },
+  CommandRow{ CommandKind::FreezeAtAnswer, "FreezeAtAnswer", 4 },
+  CommandRow{ CommandKind::WriteWhileIsolated, "WriteWhileIsolated", 2 },
   CommandRow{ CommandKind::LeaveServer, "LeaveServer", 0 },
   CommandRow{ CommandKind::PauseServer, "PauseServer", 1 },
   CommandRow{ CommandKind::ReviveServer, "ReviveServer", 5 },
@@ -288,6 +290,36 @@
   }
 }
 
+/// The caller whose profile is content with the primary's word.
+constexpr std::uint8_t kBorrower = 3;
+
+/// Cuts a data centre with a primary off, and has a caller there go on writing
+/// until others have promoted a server.
+void
+WriteWhileIsolated(World& aWorld, const Command& aCommand)
+{
+  constexpr int kWrites = 40;
+  const std::uint8_t centre = aCommand.mFirst % kServerCount;
+  if (!aWorld.mServers[centre]->IsPrimary()) {
+    return;
+  }
+  aWorld.Isolate(centre, SplitTime(aCommand));
+  for (int n = 0; n < kWrites; ++n) {
+    Write(aWorld, { CommandKind::Write, kBorrower, centre });
+    aWorld.Advance(kCommandSpacing);
+  }
+}
+
+/// Has a caller write whose profile is content with the primary's word, and
+/// stops the host and the primary when the acknowledgement is about to leave.
+void
+FreezeAtAnswer(World& aWorld, const Command& aCommand)
+{
+  const std::uint8_t host = aCommand.mFirst % kHostCount;
+  Write(aWorld, { CommandKind::Write, kBorrower, host });
+  aWorld.FreezeAtAcknowledgement(host, SplitTime(aCommand));
+}
+
 void
 DisturbServer(World& aWorld, const Command& aCommand)
 {
@@ -384,6 +416,12 @@
     case CommandKind::Wait:
       aWorld.Advance(MostlyShort(aCommand.mFirst, 1));
       break;
+    case CommandKind::FreezeAtAnswer:
+      FreezeAtAnswer(aWorld, aCommand);
+      break;
+    case CommandKind::WriteWhileIsolated:
+      WriteWhileIsolated(aWorld, aCommand);
+      break;
     case CommandKind::DoubleAnswers:
       aWorld.DoubleAnswers(1 + aCommand.mFirst % 8);
       break;
--- a/Tests/Fuzz/Commands.h
+++ b/Tests/Fuzz/Commands.h
@@ -39,6 +39,8 @@
   CutOffServer,
   IsolateCentre,
   FreezeCentre,
+  FreezeAtAnswer,
+  WriteWhileIsolated,
   LeaveServer,
   PauseServer,
   ReviveServer,
--- a/Tests/Fuzz/Oracle.cpp
+++ b/Tests/Fuzz/Oracle.cpp
@@ -306,6 +306,14 @@
   }
 }
 
+bool
+Oracle::AcknowledgesWrite(const CallerAnswer& aAnswer) const
+{
+  const auto it = mOpen.find(aAnswer.mCall);
+  return it != mOpen.end() && aAnswer.mOutcome == Outcome::Done &&
+         it->second.mRequest.mWrite;
+}
+
 bool
 Oracle::IsAcknowledged(const std::string& aKey, Instant aBefore) const
 {
--- a/Tests/Fuzz/Oracle.h
+++ b/Tests/Fuzz/Oracle.h
@@ -85,6 +85,9 @@
   /// exercise something.
   std::array<int, 3> mOutcomes{};
 
+  /// Whether an answer tells its caller that a write is done.
+  bool AcknowledgesWrite(const CallerAnswer& aAnswer) const;
+
   bool IsAcknowledged(const std::string& aKey, Instant aBefore) const;
 
 private:
--- a/Tests/Fuzz/World.cpp
+++ b/Tests/Fuzz/World.cpp
@@ -270,10 +270,7 @@
   const std::vector<Effect> effects =
     Step(host.mState, Event{ mNow + host.mClockOffset, std::move(aEvent) });
   mOracle.OnVersion(aHost, host.mState.mConfiguration.mCurrent.mVersion);
-  if (host.mPauseAfterStep > Duration{ 0 } && !effects.empty()) {
-    host.mPausedUntil = mNow + host.mPauseAfterStep;
-    host.mPauseAfterStep = Duration{ 0 };
-  }
+  PauseAfterStep(aHost, effects);
   for (const Effect& effect : effects) {
     if (mNow < host.mPausedUntil) {
       host.mStalled.push_back(effect);
@@ -283,6 +280,37 @@
   }
 }
 
+void
+World::PauseAfterStep(std::size_t aHost, const std::vector<Effect>& aEffects)
+{
+  SimulatedHost& host = mHosts[aHost];
+  if (host.mPauseAfterStep > Duration{ 0 } && !aEffects.empty()) {
+    host.mPausedUntil = mNow + host.mPauseAfterStep;
+    host.mPauseAfterStep = Duration{ 0 };
+  }
+  const bool acknowledges = std::any_of(
+    aEffects.begin(), aEffects.end(), [this](const Effect& aEffect) {
+      const auto* const answer = std::get_if<AnswerCaller>(&aEffect);
+      return answer != nullptr && mOracle.AcknowledgesWrite(answer->mAnswer);
+    });
+  if (host.mPauseAtAcknowledgement > Duration{ 0 } && acknowledges) {
+    host.mPausedUntil = mNow + host.mPauseAtAcknowledgement;
+    FreezePrimaries(host.mPauseAtAcknowledgement);
+    host.mPauseAtAcknowledgement = Duration{ 0 };
+  }
+}
+
+void
+World::FreezePrimaries(Duration aDuration)
+{
+  for (std::size_t n = 0; n < kServerCount; ++n) {
+    if (mServers[n]->IsPrimary()) {
+      mServers[n]->mPaused = true;
+      ReviveLater(n, aDuration);
+    }
+  }
+}
+
 void
 World::Carry(std::size_t aHost, const Effect& aEffect)
 {
@@ -493,6 +521,12 @@
   }
 }
 
+void
+World::FreezeAtAcknowledgement(std::size_t aHost, Duration aDuration)
+{
+  mHosts[aHost].mPauseAtAcknowledgement = aDuration;
+}
+
 void
 World::Crash(std::size_t aHost)
 {
@@ -551,6 +585,7 @@
   mIsolated = {};
   for (std::size_t n = 0; n < kHostCount; ++n) {
     mHosts[n].mPauseAfterStep = Duration{ 0 };
+    mHosts[n].mPauseAtAcknowledgement = Duration{ 0 };
     Restart(n);
   }
   for (auto& [ends, link] : mLinks) {
--- a/Tests/Fuzz/World.h
+++ b/Tests/Fuzz/World.h
@@ -31,6 +31,9 @@
   Instant mPausedUntil{};
   /// The pause that catches the host between its next step and the effects.
   Duration mPauseAfterStep{ 0 };
+  /// The pause that catches the host, and the primary's machine, when the
+  /// host has decided to acknowledge a write and has not sent the answer.
+  Duration mPauseAtAcknowledgement{ 0 };
   std::deque<EventBody> mBacklog;
   std::deque<Effect> mStalled;
   /// Counts restarts, so that nothing reaches a later process by mistake.
@@ -90,6 +93,9 @@
 
   void Deliver(std::size_t aHost, EventBody aEvent);
   void Pause(std::size_t aHost, Duration aDuration, bool aAfterStep);
+  /// Stops a host and the primary for some time when the host is about to
+  /// acknowledge a write.
+  void FreezeAtAcknowledgement(std::size_t aHost, Duration aDuration);
   void Crash(std::size_t aHost);
   void Restart(std::size_t aHost);
   /// Breaks the link between two hosts; a silent one tells nobody.
@@ -134,6 +140,10 @@
   void Replicate();
   void ServeAll();
   void StepHost(std::size_t aHost, EventBody aEvent);
+  /// Starts the pause that waited for the effects of a step.
+  void PauseAfterStep(std::size_t aHost, const std::vector<Effect>& aEffects);
+  /// Stops the machines of all servers that lead.
+  void FreezePrimaries(Duration aDuration);
   void Carry(std::size_t aHost, const Effect& aEffect);
   void CarryAnswer(std::size_t aHost, CallerAnswer aAnswer);
   /// A planned stop is complete.
