--- a/Source/Catalogue/CatalogueState.h
+++ b/Source/Catalogue/CatalogueState.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -17,10 +18,17 @@
 {
   bool mKnown = false;
   std::uint64_t mVersion = 0;
-  /// The call that is underway; none if there is none.
+  /// The version with which the usable rows last changed.
+  std::uint64_t mContentVersion = 0;
+  /// A time at which the store had nothing newer.
+  Instant mConfirmedAt;
+  /// The call that is underway, and when it was made; none if there is none.
   CallId mCall;
-  /// Whether the last call failed.
-  bool mLost = false;
+  Instant mCalledAt;
+  /// The pages of a whole read that have come so far.
+  std::optional<TableAnswer> mPages;
+  /// Calls in a row that have failed.
+  std::uint32_t mFailures = 0;
   /// Whether the next call reads all rows.
   bool mReread = false;
 };
@@ -36,6 +44,8 @@
   /// The call that writes this host's entry.
   CallId mRegisterCall;
   bool mRegistered = false;
+  /// The store's version that it got.
+  std::uint64_t mRegisteredVersion = 0;
 };
 
 /// The lease on promotions, as this host knows it.
@@ -45,13 +55,18 @@
   /// The store's clock when the row was first seen at its version.
   Duration mSeenAt{ 0 };
   bool mSeen = false;
-  /// The latest time of the store's clock, and when it was read.
+  /// The latest time of the store's clock, and when it was read; never at
+  /// first.
   Duration mStoreTime{ 0 };
-  Instant mStoreTimeReadAt;
+  std::optional<Instant> mStoreTimeReadAt;
 
   CallId mCall;
   Instant mCallSentAt;
   PromoterLease mClaimed;
+  /// When the first write was sent that mClaimed.mRowVersion was the condition
+  /// of. If the row is found to be this host's, any of them may be the one that
+  /// took effect.
+  Instant mClaimedAt;
   /// Until when this host may promote; in the past if it does not hold the
   /// lease.
   Instant mHeldUntil;
--- /dev/null
+++ b/Source/Catalogue/Peers.cpp
@@ -0,0 +1,144 @@
+#include "Catalogue/Peers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Catalogue/Servers.h"
+#include "Catalogue/Tables.h"
+#include "Gateway/Readiness.h"
+
+namespace camphorstep::gateway {
+
+namespace {
+
+RoutingVersion
+RoutingInForce(const Context& aContext)
+{
+  const Catalogue& catalogue = aContext.mState.mCatalogue;
+  RoutingVersion routing;
+  routing.mVersion = catalogue.mRoutingVersion;
+  routing.mTransactionIdleTimeout = catalogue.mTransactionIdleTimeout;
+  for (const auto& [name, route] : catalogue.mRoutes) {
+    routing.mRoutes.push_back(route);
+  }
+  for (const auto& [id, group] : aContext.mState.mGroups) {
+    if (!group.mRules.mName.empty()) {
+      routing.mGroups.push_back(group.mRules);
+    }
+  }
+  return routing;
+}
+
+TableContent
+ContentOf(const Context& aContext, Table aTable)
+{
+  TableContent content;
+  switch (aTable) {
+    case Table::Operator:
+      if (aContext.mState.mCatalogue.mRoutingVersion != 0) {
+        content.mRouting = RoutingInForce(aContext);
+      }
+      break;
+    case Table::Servers:
+      for (const auto& [id, backend] : aContext.mState.mBackends) {
+        if (!backend.mMissingSince) {
+          content.mServers.push_back(backend.mEntry);
+        }
+      }
+      break;
+    case Table::Fleet:
+      for (const auto& [name, host] : aContext.mState.mCatalogue.mHosts) {
+        content.mHosts.push_back(host);
+      }
+      break;
+  }
+  return content;
+}
+
+/// The rows as a read of the whole table would have brought them.
+TableAnswer
+AsAnswer(const TableNews& aNews)
+{
+  TableAnswer answer;
+  answer.mTable = aNews.mTable;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mWhole = true;
+  answer.mVersion = aNews.mVersion;
+  answer.mRouting = aNews.mContent->mRouting;
+  for (const ServerEntry& server : aNews.mContent->mServers) {
+    answer.mServers.push_back({ server.mName, server });
+  }
+  for (const HostEntry& host : aNews.mContent->mHosts) {
+    answer.mHosts.push_back({ host.mName, host });
+  }
+  return answer;
+}
+
+void
+ApplyNews(Context& aContext, const TableNews& aNews, Instant aSentAt)
+{
+  if (static_cast<std::size_t>(aNews.mTable) >= kTableCount) {
+    return;
+  }
+  const TableProgress& progress = ProgressOf(aContext, aNews.mTable);
+  const bool isNewer = !progress.mKnown || aNews.mVersion > progress.mVersion;
+  const bool takesRows = aNews.mContent && isNewer;
+  if (!takesRows && (!progress.mKnown || aNews.mVersion < progress.mVersion)) {
+    return;
+  }
+  NoteConfirmed(aContext,
+                aNews.mTable,
+                aNews.mVersion,
+                aSentAt - std::max(aNews.mAge, Duration{ 0 }));
+  if (takesRows) {
+    TakeRows(aContext, AsAnswer(aNews));
+  }
+}
+
+}
+
+std::vector<TableNews>
+ReportTables(const Context& aContext, const NewsQuery& aQuery)
+{
+  std::vector<TableNews> tables;
+  for (std::size_t n = 0; n < kTableCount; ++n) {
+    const Table table = static_cast<Table>(n);
+    const TableProgress& progress = aContext.mState.mCatalogue.mTables.at(n);
+    if (!progress.mKnown) {
+      continue;
+    }
+    TableNews news;
+    news.mTable = table;
+    news.mVersion = progress.mVersion;
+    news.mAge = aContext.mNow - progress.mConfirmedAt;
+    if (progress.mContentVersion > aQuery.mVersions.at(n)) {
+      news.mContent = ContentOf(aContext, table);
+    }
+    tables.push_back(std::move(news));
+  }
+  return tables;
+}
+
+bool
+HasTableNews(const Context& aContext, const NewsQuery& aQuery)
+{
+  for (std::size_t n = 0; n < kTableCount; ++n) {
+    const TableProgress& progress = aContext.mState.mCatalogue.mTables.at(n);
+    if (progress.mKnown && progress.mContentVersion > aQuery.mVersions.at(n)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+ApplyTableNews(Context& aContext, const NewsReport& aReport, Instant aSentAt)
+{
+  for (const TableNews& news : aReport.mTables) {
+    ApplyNews(aContext, news, aSentAt);
+  }
+  ForgetMissingServers(aContext);
+  UpdateReadiness(aContext);
+}
+
+}
--- a/Source/Catalogue/Routing.cpp
+++ b/Source/Catalogue/Routing.cpp
@@ -2,12 +2,12 @@
 
 namespace camphorstep::gateway {
 
-void
+bool
 ApplyRouting(Context& aContext, const RoutingVersion& aVersion)
 {
   Catalogue& catalogue = aContext.mState.mCatalogue;
   if (aVersion.mVersion <= catalogue.mRoutingVersion) {
-    return;
+    return false;
   }
   Log(aContext,
       LogSeverity::Info,
@@ -27,6 +27,7 @@
     group.mName = rules.mName;
     group.mRules = rules;
   }
+  return true;
 }
 
 }
--- a/Source/Catalogue/Routing.h
+++ b/Source/Catalogue/Routing.h
@@ -4,7 +4,8 @@
 
 namespace camphorstep::gateway {
 
-/// Puts a version of the routes in force unless a later one is.
-void ApplyRouting(Context& aContext, const RoutingVersion& aVersion);
+/// Puts a version of the routes in force unless that or a later one is.
+/// Returns whether it did.
+bool ApplyRouting(Context& aContext, const RoutingVersion& aVersion);
 
 }
--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -118,31 +118,38 @@
   }
 }
 
-void
+/// Returns whether the entry says anything new.
+bool
 ApplyEntry(Context& aContext, const ServerEntry& aEntry)
 {
   const ServerId id = IdOf<ServerId>(aEntry.mName);
   if (Backend* const backend = Find(aContext.mState.mBackends, id)) {
+    if (backend->mEntry == aEntry && !backend->mMissingSince) {
+      return false;
+    }
     UpdateServer(aContext, *backend, aEntry);
   } else {
     AddServer(aContext, aEntry);
   }
   NoteLeaving(aContext, aContext.mState.mBackends.at(id));
+  return true;
 }
 
-void
+/// Returns whether the server was listed before.
+bool
 NoteMissing(Context& aContext, const std::string& aName)
 {
   Backend* const backend =
     Find(aContext.mState.mBackends, IdOf<ServerId>(aName));
   if (backend == nullptr || backend->mMissingSince) {
-    return;
+    return false;
   }
   backend->mMissingSince = aContext.mNow;
   Log(aContext,
       LogSeverity::Info,
       "backend server is not listed any more",
       { { "server", aName } });
+  return true;
 }
 
 void
@@ -167,16 +174,17 @@
 
 }
 
-void
+bool
 ApplyServers(Context& aContext, const TableAnswer& aAnswer)
 {
+  bool hasChanged = false;
   std::set<std::string> listed;
   for (const RowChange<ServerEntry>& change : aAnswer.mServers) {
     if (change.mEntry) {
       listed.insert(change.mKey);
-      ApplyEntry(aContext, *change.mEntry);
+      hasChanged |= ApplyEntry(aContext, *change.mEntry);
     } else {
-      NoteMissing(aContext, change.mKey);
+      hasChanged |= NoteMissing(aContext, change.mKey);
     }
   }
   if (aAnswer.mWhole) {
@@ -187,10 +195,11 @@
       }
     }
     for (const std::string& name : missing) {
-      NoteMissing(aContext, name);
+      hasChanged |= NoteMissing(aContext, name);
     }
   }
   ForgetMissingServers(aContext);
+  return hasChanged;
 }
 
 void
--- a/Source/Catalogue/Servers.h
+++ b/Source/Catalogue/Servers.h
@@ -4,8 +4,9 @@
 
 namespace camphorstep::gateway {
 
-/// Takes the changes of backend servers' entries into account.
-void ApplyServers(Context& aContext, const TableAnswer& aAnswer);
+/// Takes the changes of backend servers' entries into account. Returns whether
+/// there were any.
+bool ApplyServers(Context& aContext, const TableAnswer& aAnswer);
 
 /// Gives servers whose entries lapsed while the store was away the time to
 /// write them again.
--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -2,14 +2,17 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
+#include "Catalogue/Hosts.h"
 #include "Catalogue/Routing.h"
 #include "Catalogue/Servers.h"
 #include "Common/NamedEnum.h"
+#include "Fleet/Reports.h"
+#include "Fleet/Sources.h"
 #include "Gateway/Readiness.h"
 #include "Gateway/Tuning.h"
 #include "Group/Promoter.h"
-#include "Group/Sharing.h"
 
 namespace camphorstep::gateway {
 
@@ -21,90 +24,134 @@
   EnumName<Table>{ Table::Fleet, "fleet" },
 };
 
-TableProgress&
-ProgressOf(Context& aContext, Table aTable)
+/// How old a table's confirmation may be on a host that is told by others,
+/// before it asks the store itself. The host that the others ask does so
+/// before them.
+struct AgeLimits
+{
+  Duration mSource;
+  Duration mFollower;
+};
+
+AgeLimits
+AgeLimitsOf(Table aTable)
 {
-  return aContext.mState.mCatalogue.mTables[static_cast<std::size_t>(aTable)];
+  switch (aTable) {
+    case Table::Operator:
+      return { 1'800ms, 2'300ms };
+    case Table::Servers:
+      return { 2'500ms, 3'500ms };
+    case Table::Fleet:
+      break;
+  }
+  return { 5s, 8s };
 }
 
 void
-ArmPoll(Context& aContext, Table aTable, Duration aDelay)
+ArmPoll(Context& aContext, Table aTable, Instant aDue)
 {
-  aContext.mState.mTimers.ArmSooner(TimerKind::PollTable,
-                                    static_cast<std::uint64_t>(aTable),
-                                    aContext.mNow + aDelay);
+  aContext.mState.mTimers.Arm(
+    TimerKind::PollTable, static_cast<std::uint64_t>(aTable), aDue);
 }
 
 /// Servers and the promoter write their rows all the time, so these changes
 /// are collected; the operator's are rare and are waited for.
-bool
-IsCollected(Table aTable)
+Duration
+PollInterval(const Context& aContext, Table aTable)
 {
-  return aTable != Table::Operator;
+  switch (aTable) {
+    case Table::Operator:
+      return Duration{ 0 };
+    case Table::Servers:
+      return kServersPollInterval;
+    case Table::Fleet:
+      break;
+  }
+  return HoldsPromoterLease(aContext) ? kHostsPollInterval
+                                      : kServersPollInterval;
 }
 
-Duration
-PollInterval(const Context& aContext, Table aTable)
+/// When the store is to be asked for a table.
+Instant
+NextPoll(const Context& aContext, Table aTable, const TableProgress& aProgress)
 {
-  const bool acts = HoldsPromoterLease(aContext) && aTable == Table::Servers;
-  const bool isTold = HoldsPromoterLease(aContext) || HearsPromoter(aContext);
-  return isTold && !acts ? kFollowerPollInterval : kPollInterval;
+  if (HoldsPromoterLease(aContext) || !HearsSource(aContext)) {
+    return aContext.mNow + PollInterval(aContext, aTable);
+  }
+  const AgeLimits limits = AgeLimitsOf(aTable);
+  return aProgress.mConfirmedAt +
+         (IsFollower(aContext) ? limits.mFollower : limits.mSource);
 }
 
 void
-NoteReachability(Context& aContext,
-                 TableProgress& aProgress,
-                 Table aTable,
-                 bool aLost)
+NoteUnreachable(Context& aContext, Table aTable, TableProgress& aProgress)
 {
-  if (aProgress.mLost == aLost) {
+  if (++aProgress.mFailures > 1) {
     return;
   }
-  aProgress.mLost = aLost;
   Log(aContext,
-      aLost ? LogSeverity::Warning : LogSeverity::Info,
-      aLost ? "the platform's store does not answer"
-            : "the platform's store answers again",
+      LogSeverity::Warning,
+      "the platform's store does not answer",
       { { "table", std::string(NameIn(kTableNames, aTable)) },
-        { "version", std::to_string(aProgress.mVersion) } });
-  if (!aLost && aTable == Table::Servers) {
-    RestartMissingGrace(aContext);
-  }
+        { "version", std::to_string(aProgress.mVersion) },
+        { "age_ms", Milliseconds(aContext.mNow - aProgress.mConfirmedAt) } });
 }
 
-void
-ApplyHosts(Context& aContext, const TableAnswer& aAnswer)
+/// Whether the table had not been confirmed for so long that entries in it
+/// may have lapsed meanwhile.
+bool
+WasAway(const TableProgress& aProgress, Table aTable, Instant aConfirmedAt)
 {
-  Catalogue& catalogue = aContext.mState.mCatalogue;
-  if (aAnswer.mWhole) {
-    catalogue.mHosts.clear();
+  return aProgress.mFailures > 0 ||
+         aConfirmedAt - aProgress.mConfirmedAt > AgeLimitsOf(aTable).mFollower;
+}
+
+Duration
+RetryDelay(const TableProgress& aProgress)
+{
+  return std::min(kStoreRetryDelay * std::max(1U, aProgress.mFailures),
+                  kMaxStoreRetryDelay);
+}
+
+/// Joins the pages of a whole read. Returns the answer once it is complete.
+std::optional<TableAnswer>
+JoinPages(Context& aContext, TableProgress& aProgress, const TableAnswer& aPage)
+{
+  if (!aProgress.mPages) {
+    // Rows of the first page are known up to its own version only.
+    aProgress.mPages = aPage;
+  } else {
+    TableAnswer& whole = *aProgress.mPages;
+    whole.mServers.insert(
+      whole.mServers.end(), aPage.mServers.begin(), aPage.mServers.end());
+    whole.mHosts.insert(
+      whole.mHosts.end(), aPage.mHosts.begin(), aPage.mHosts.end());
+    whole.mLease = aPage.mLease ? aPage.mLease : whole.mLease;
+    whole.mRouting = aPage.mRouting ? aPage.mRouting : whole.mRouting;
+    whole.mStoreTime = aPage.mStoreTime;
   }
-  for (const RowChange<HostEntry>& change : aAnswer.mHosts) {
-    if (change.mEntry) {
-      catalogue.mHosts[change.mKey] = *change.mEntry;
-    } else {
-      catalogue.mHosts.erase(change.mKey);
-    }
+  if (aPage.mMoreFrom.empty()) {
+    return std::exchange(aProgress.mPages, std::nullopt);
   }
-  NoteLease(aContext, aAnswer);
+  aProgress.mCall = NewId<CallId>(aContext);
+  ++aContext.mState.mCounters.mStoreCalls;
+  Emit(aContext, ReadTable{ aProgress.mCall, aPage.mTable, aPage.mMoreFrom });
+  return std::nullopt;
 }
 
+/// Handles a call that did not bring rows.
 void
-ApplyRows(Context& aContext, const TableAnswer& aAnswer)
+HandleFailedPoll(Context& aContext,
+                 TableProgress& aProgress,
+                 const TableAnswer& aAnswer)
 {
-  switch (aAnswer.mTable) {
-    case Table::Operator:
-      if (aAnswer.mRouting) {
-        ApplyRouting(aContext, *aAnswer.mRouting);
-      }
-      break;
-    case Table::Servers:
-      ApplyServers(aContext, aAnswer);
-      break;
-    case Table::Fleet:
-      ApplyHosts(aContext, aAnswer);
-      break;
+  aProgress.mPages.reset();
+  if (aAnswer.mOutcome == CallOutcome::HistoryLost) {
+    RereadTable(aContext, aAnswer.mTable);
+    return;
   }
+  NoteUnreachable(aContext, aAnswer.mTable, aProgress);
+  ArmPoll(aContext, aAnswer.mTable, aContext.mNow + RetryDelay(aProgress));
 }
 
 }
@@ -116,6 +163,13 @@
     .mKnown;
 }
 
+TableProgress&
+ProgressOf(Context& aContext, Table aTable)
+{
+  return aContext.mState.mCatalogue.mTables.at(
+    static_cast<std::size_t>(aTable));
+}
+
 void
 PollTable(Context& aContext, Table aTable)
 {
@@ -123,15 +177,26 @@
   if (progress.mCall) {
     return;
   }
+  const Instant due = NextPoll(aContext, aTable, progress);
+  const bool isTold = progress.mKnown && !progress.mReread &&
+                      progress.mFailures == 0 && HearsSource(aContext) &&
+                      !HoldsPromoterLease(aContext) && due > aContext.mNow;
+  if (isTold) {
+    ArmPoll(aContext, aTable, due);
+    return;
+  }
   progress.mCall = NewId<CallId>(aContext);
+  progress.mCalledAt = aContext.mNow;
   ++aContext.mState.mCounters.mStoreCalls;
   if (!progress.mKnown || progress.mReread) {
     progress.mReread = false;
-    Emit(aContext, ReadTable{ progress.mCall, aTable });
+    Emit(aContext, ReadTable{ progress.mCall, aTable, "" });
     return;
   }
-  // After a failure the store has to show at once that it answers.
-  const bool waits = !IsCollected(aTable) && !progress.mLost;
+  // After a failure the store has to show at once that it answers, and a host
+  // that is told by others has no need to wait.
+  const bool waits = aTable == Table::Operator && progress.mFailures == 0 &&
+                     !HearsSource(aContext);
   Emit(aContext,
        FollowTable{ progress.mCall,
                     aTable,
@@ -142,14 +207,14 @@
 void
 HastenPoll(Context& aContext, Table aTable)
 {
-  ArmPoll(aContext, aTable, Duration{ 0 });
+  ArmPoll(aContext, aTable, aContext.mNow);
 }
 
 void
 RereadTable(Context& aContext, Table aTable)
 {
   ProgressOf(aContext, aTable).mReread = true;
-  ArmPoll(aContext, aTable, Duration{ 0 });
+  HastenPoll(aContext, aTable);
 }
 
 void
@@ -160,27 +225,77 @@
     return;
   }
   progress.mCall = CallId{};
-  switch (aAnswer.mOutcome) {
-    case CallOutcome::Ok:
-      break;
-    case CallOutcome::HistoryLost:
-      progress.mReread = true;
-      ArmPoll(aContext, aAnswer.mTable, Duration{ 0 });
-      return;
-    default:
-      NoteReachability(aContext, progress, aAnswer.mTable, true);
-      ArmPoll(aContext, aAnswer.mTable, kStoreRetryDelay);
+  if (aAnswer.mOutcome != CallOutcome::Ok) {
+    HandleFailedPoll(aContext, progress, aAnswer);
+    return;
+  }
+  std::optional<TableAnswer> answer = aAnswer;
+  if (aAnswer.mWhole) {
+    answer = JoinPages(aContext, progress, aAnswer);
+    if (!answer) {
       return;
+    }
+  }
+  if (answer->mTable == Table::Fleet) {
+    NoteLease(aContext, *answer);
+  }
+  // Another host may have told of a later version meanwhile.
+  if (!progress.mKnown || answer->mVersion >= progress.mVersion) {
+    NoteConfirmed(
+      aContext, answer->mTable, answer->mVersion, progress.mCalledAt);
+    TakeRows(aContext, *answer);
+  }
+  ArmPoll(
+    aContext, answer->mTable, NextPoll(aContext, answer->mTable, progress));
+  UpdateReadiness(aContext);
+}
+
+void
+TakeRows(Context& aContext, const TableAnswer& aAnswer)
+{
+  TableProgress& progress = ProgressOf(aContext, aAnswer.mTable);
+  bool hasChanged = !progress.mKnown;
+  switch (aAnswer.mTable) {
+    case Table::Operator:
+      hasChanged |=
+        aAnswer.mRouting && ApplyRouting(aContext, *aAnswer.mRouting);
+      break;
+    case Table::Servers:
+      hasChanged |= ApplyServers(aContext, aAnswer);
+      break;
+    case Table::Fleet:
+      hasChanged |= ApplyHosts(aContext, aAnswer);
+      break;
   }
-  NoteReachability(aContext, progress, aAnswer.mTable, false);
   progress.mKnown = true;
   progress.mVersion = std::max(progress.mVersion, aAnswer.mVersion);
-  ApplyRows(aContext, aAnswer);
-  ArmPoll(aContext,
-          aAnswer.mTable,
-          IsCollected(aAnswer.mTable) ? PollInterval(aContext, aAnswer.mTable)
-                                      : Duration{ 0 });
-  UpdateReadiness(aContext);
+  if (hasChanged) {
+    progress.mContentVersion = progress.mVersion;
+    aContext.mState.mTimers.ArmSooner(TimerKind::ShareNews, 0, aContext.mNow);
+  }
+}
+
+void
+NoteConfirmed(Context& aContext,
+              Table aTable,
+              std::uint64_t aVersion,
+              Instant aAt)
+{
+  TableProgress& progress = ProgressOf(aContext, aTable);
+  const bool wasAway = WasAway(progress, aTable, aAt);
+  if (progress.mFailures > 0) {
+    Log(aContext,
+        LogSeverity::Info,
+        "the platform's store answers again",
+        { { "table", std::string(NameIn(kTableNames, aTable)) },
+          { "version", std::to_string(aVersion) } });
+  }
+  if (wasAway && aTable == Table::Servers) {
+    RestartMissingGrace(aContext);
+  }
+  progress.mFailures = 0;
+  progress.mVersion = std::max(progress.mVersion, aVersion);
+  progress.mConfirmedAt = std::max(progress.mConfirmedAt, aAt);
 }
 
 void
@@ -208,7 +323,10 @@
   }
   catalogue.mRegisterCall = CallId{};
   catalogue.mRegistered = aEvent.mOutcome == CallOutcome::Ok;
-  if (!catalogue.mRegistered) {
+  if (catalogue.mRegistered) {
+    catalogue.mRegisteredVersion = aEvent.mVersion;
+    HastenPoll(aContext, Table::Fleet);
+  } else {
     aContext.mState.mTimers.Arm(
       TimerKind::RegisterHost, 0, aContext.mNow + kStoreRetryDelay);
   }
--- a/Source/Catalogue/Tables.h
+++ b/Source/Catalogue/Tables.h
@@ -5,9 +5,11 @@
 
 namespace camphorstep::gateway {
 
-/// Whether all rows of a table have been read.
+/// Whether all rows of a table are known.
 bool IsTableKnown(const Context& aContext, Table aTable);
 
+TableProgress& ProgressOf(Context& aContext, Table aTable);
+
 /// Reads a table, or asks for its changes, unless that is underway.
 void PollTable(Context& aContext, Table aTable);
 
@@ -19,6 +21,17 @@
 
 void HandleTableAnswer(Context& aContext, const TableAnswer& aAnswer);
 
+/// Takes rows into account, which the store or another host has given.
+void TakeRows(Context& aContext, const TableAnswer& aAnswer);
+
+/// Notes that the store had nothing newer than a version at a time. Comes
+/// before the rows of that version are taken, since servers are given time to
+/// return if the store was away.
+void NoteConfirmed(Context& aContext,
+                   Table aTable,
+                   std::uint64_t aVersion,
+                   Instant aAt);
+
 /// Writes this host's entry until the store has it.
 void RegisterHost(Context& aContext);
 
--- /dev/null
+++ b/Source/Fleet/Following.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Gateway/Context.h"
+#include "Gateway/Event.h"
+
+namespace camphorstep::gateway {
+
+/// Asks the source for news, chooses another one if it is silent, or looks
+/// for one.
+void FollowSource(Context& aContext);
+
+/// Takes the source's report and asks it again.
+void HandlePeerReported(Context& aContext, const NewsReport& aReport);
+
+/// The connection to the source ended or was refused.
+void HandlePeerLost(Context& aContext);
+
+}
--- a/Source/Gateway/BackendMessage.h
+++ b/Source/Gateway/BackendMessage.h
@@ -9,6 +9,7 @@
 #include "Gateway/Statement.h"
 #include "Model/Position.h"
 #include "Model/ResultCode.h"
+#include "Wire/Packed.h"
 
 namespace camphorstep::gateway {
 
@@ -69,6 +70,19 @@
   std::uint32_t mBusySlots = 0;
   /// Connections that it holds, from everyone.
   std::uint32_t mConnections = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mPrimary);
+    ArchivePacked(aArchive, mTerm);
+    ArchivePacked(aArchive, mReceived.mTerm);
+    ArchivePacked(aArchive, mReceived.mIndex);
+    ArchivePacked(aArchive, mPausedBy);
+    ArchivePacked(aArchive, mLag);
+    ArchivePacked(aArchive, mBusySlots);
+    ArchivePacked(aArchive, mConnections);
+  }
 };
 
 /// A backend server's answer to one request.
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -66,11 +66,13 @@
   BackendRequest mRequest;
 };
 
-/// Reads all rows of a table; TableAnswer follows.
+/// Reads the rows of a table; TableAnswer follows.
 struct ReadTable
 {
   CallId mCall;
   Table mTable = Table::Operator;
+  /// The first key; empty for all rows.
+  std::string mFrom;
 };
 
 /// Asks for rows that change after a version; TableAnswer follows.
@@ -115,17 +117,20 @@
   std::uint64_t mToken = 0;
 };
 
-/// Asks another host; a StatusReport follows.
+/// Asks another host; a NewsReport or PeerLost follows. One host is asked at a
+/// time.
 struct AskPeer
 {
   Address mAddress;
-  StatusQuery mQuery;
+  /// Whether a connection that was open already must not be used.
+  bool mOnNewConnection = false;
+  NewsQuery mQuery;
 };
 
 struct AnswerPeer
 {
   PeerLinkId mLink;
-  StatusReport mReport;
+  NewsReport mReport;
 };
 
 /// Whether the balancer is to send new callers here.
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -64,6 +64,8 @@
   CallOutcome mOutcome = CallOutcome::Unknown;
   /// Ok: the version that the written rows have.
   std::uint64_t mVersion = 0;
+  /// Ok: the store's clock after the write.
+  Duration mStoreTime{ 0 };
 };
 
 /// The platform answered a PromoteServer.
@@ -73,13 +75,17 @@
   CallOutcome mOutcome = CallOutcome::Unknown;
 };
 
-/// Another host asks for the servers' statuses.
+/// Another host asks for news.
 struct PeerAsked
 {
   PeerLinkId mLink;
-  StatusQuery mQuery;
+  NewsQuery mQuery;
 };
 
+/// The connection to the host that was asked last ended or was refused.
+struct PeerLost
+{};
+
 /// The settings file has changed.
 struct SettingsChanged
 {
@@ -106,7 +112,8 @@
                                StoreWritten,
                                PromoteAnswered,
                                PeerAsked,
-                               StatusReport,
+                               NewsReport,
+                               PeerLost,
                                SettingsChanged,
                                StopRequested,
                                TimePassed>;
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -8,6 +8,7 @@
 #include "Backend/BackendState.h"
 #include "Catalogue/CatalogueState.h"
 #include "Common/Time.h"
+#include "Fleet/FleetState.h"
 #include "Gateway/Counters.h"
 #include "Gateway/Ids.h"
 #include "Gateway/Timers.h"
@@ -32,8 +33,6 @@
   bool mUnderway = false;
   Instant mStartedAt;
   bool mComplete = false;
-  /// The call that removes this host's entry.
-  CallId mRemoveCall;
 };
 
 /// Everything that one host knows. Plain data: many states can live in one
@@ -52,7 +51,7 @@
   std::map<GroupId, Group> mGroups;
   Catalogue mCatalogue;
   PromoterState mPromoter;
-  StatusSharing mSharing;
+  FleetState mFleet;
   Counters mCounters;
 };
 
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -4,11 +4,12 @@
 #include "Backend/Pool.h"
 #include "Catalogue/Servers.h"
 #include "Catalogue/Tables.h"
+#include "Fleet/Following.h"
+#include "Fleet/Reports.h"
 #include "Gateway/Context.h"
 #include "Gateway/Stopping.h"
 #include "Group/Evidence.h"
 #include "Group/Promoter.h"
-#include "Group/Sharing.h"
 #include "Group/Takeover.h"
 #include "Session/Execution.h"
 #include "Session/Sessions.h"
@@ -62,7 +63,8 @@
   {
     HandlePeerAsked(mContext, aEvent);
   }
-  void operator()(const StatusReport& aEvent) const
+  void operator()(const PeerLost&) const { HandlePeerLost(mContext); }
+  void operator()(const NewsReport& aEvent) const
   {
     HandlePeerReported(mContext, aEvent);
   }
@@ -108,8 +110,11 @@
     case TimerKind::PromoterLease:
       MaintainPromoterLease(aContext);
       break;
-    case TimerKind::AskPromoter:
-      AskPromoter(aContext);
+    case TimerKind::FollowSource:
+      FollowSource(aContext);
+      break;
+    case TimerKind::ShareNews:
+      ShareNews(aContext);
       break;
     case TimerKind::Stop:
       ContinueStop(aContext);
@@ -127,7 +132,7 @@
   }
   aState.mTimers.Arm(TimerKind::RegisterHost, 0, aNow);
   aState.mTimers.Arm(TimerKind::PromoterLease, 0, aNow);
-  aState.mTimers.Arm(TimerKind::AskPromoter, 0, aNow);
+  aState.mTimers.Arm(TimerKind::FollowSource, 0, aNow);
 }
 
 std::vector<Effect>
--- a/Source/Gateway/Stopping.cpp
+++ b/Source/Gateway/Stopping.cpp
@@ -86,9 +86,9 @@
       { { "sessions", std::to_string(aContext.mState.mSessions.size()) } });
   UpdateReadiness(aContext);
   MaintainPromoterLease(aContext);
-  stop.mRemoveCall = NewId<CallId>(aContext);
   Emit(aContext,
-       RemoveHostEntry{ stop.mRemoveCall, aContext.mState.mSelf.mEntry.mName });
+       RemoveHostEntry{ NewId<CallId>(aContext),
+                        aContext.mState.mSelf.mEntry.mName });
   ContinueStop(aContext);
 }
 
--- a/Source/Gateway/StoreRecord.h
+++ b/Source/Gateway/StoreRecord.h
@@ -9,6 +9,7 @@
 #include "Gateway/Ids.h"
 #include "Model/Profile.h"
 #include "Model/Topology.h"
+#include "Wire/Packed.h"
 
 namespace camphorstep::gateway {
 
@@ -42,6 +43,16 @@
   std::uint32_t mUrgency = 0;
 
   bool operator==(const Route&) const = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mDatabase, mGroup, mFreshness);
+    ArchivePacked(aArchive, mMaxAge);
+    ArchivePacked(aArchive, mStatementTimeout);
+    ArchivePacked(aArchive, mTarget);
+    ArchivePacked(aArchive, mUrgency);
+  }
 };
 
 /// What operators say of a group of backend servers.
@@ -50,6 +61,13 @@
   std::string mName;
   /// The most connections that one server takes from everyone.
   std::uint32_t mMaxConnections = 30;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mName);
+    ArchivePacked(aArchive, mMaxConnections);
+  }
 };
 
 /// One published version of routes and groups.
@@ -60,6 +78,14 @@
   std::vector<GroupRules> mGroups;
   /// After this long without a statement a transaction may be ended.
   Duration mTransactionIdleTimeout{ 10'000'000 };
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    ArchivePacked(aArchive, mVersion);
+    aArchive(mRoutes, mGroups);
+    ArchivePacked(aArchive, mTransactionIdleTimeout);
+  }
 };
 
 /// A backend server's entry.
@@ -74,6 +100,16 @@
   bool mPrimary = false;
   /// When the server started: milliseconds since 1970, UTC, by its clock.
   std::uint64_t mStartedAt = 0;
+
+  bool operator==(const ServerEntry&) const = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mName, mGroup, mAddress, mDataCentre, mLeaving, mPrimary);
+    ArchivePacked(aArchive, mSlots);
+    ArchivePacked(aArchive, mStartedAt);
+  }
 };
 
 /// A host of the proxy's own.
@@ -84,6 +120,17 @@
   std::string mDataCentre;
   /// Drawn at random at process start.
   std::uint64_t mIncarnation = 0;
+  /// The processor time that it may use, in thousandths of a core.
+  std::uint32_t mProcessorShare = 0;
+
+  bool operator==(const HostEntry&) const = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mName, mPeerAddress, mDataCentre, mIncarnation);
+    ArchivePacked(aArchive, mProcessorShare);
+  }
 };
 
 /// Who may promote servers, and the fencing token of its calls.
@@ -95,6 +142,14 @@
   std::uint64_t mToken = 0;
   /// The version of the row, for conditional writes.
   std::uint64_t mRowVersion = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mHolder, mIncarnation);
+    ArchivePacked(aArchive, mToken);
+    ArchivePacked(aArchive, mRowVersion);
+  }
 };
 
 /// A change of one row; no entry means that the row is gone or names
@@ -128,6 +183,8 @@
   CallOutcome mOutcome = CallOutcome::Unknown;
   /// Whether the rows are all that the table holds.
   bool mWhole = false;
+  /// If there are more rows: the last key of these.
+  std::string mMoreFrom;
   /// The store's version up to which the rows are known.
   std::uint64_t mVersion = 0;
   /// The store's steady clock.
--- a/Source/Gateway/Timers.h
+++ b/Source/Gateway/Timers.h
@@ -26,7 +26,8 @@
   PollTable,
   RegisterHost,
   PromoterLease,
-  AskPromoter,
+  FollowSource,
+  ShareNews,
   Stop,
 };
 
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -17,11 +17,14 @@
 
 /// How often the servers of a group are asked for their status.
 constexpr Duration kSampleInterval = 250ms;
-/// How often a host asks the promoter for the servers' statuses.
-constexpr Duration kShareInterval = 250ms;
-/// A host asks servers itself when the proof of the primary that it was told
-/// is about to end.
+/// How long a host that is asked for news may wait for some.
+constexpr Duration kHoldTime = 300ms;
+/// A host that asks other hosts for news asks servers itself when the proof of
+/// the primary that it was told is about to end.
 constexpr Duration kOwnSampleLead = 300ms;
+/// A host that leaves this to another one of its data centre does so when
+/// there has been no proof for this time.
+constexpr Duration kFollowerPatience = 3s;
 /// The same while the primary is in doubt or being changed.
 constexpr Duration kUrgentSampleInterval = 100ms;
 /// A status request that takes longer means a silent connection.
@@ -41,6 +44,9 @@
 constexpr Duration kOpenRetryDelay = 100ms;
 /// A connection that takes longer to open is given up.
 constexpr Duration kOpenTimeout = 1'000ms;
+/// A connection for status requests that is not needed is closed after this
+/// time.
+constexpr Duration kIdleControlTime = 1s;
 /// An idle connection is closed after this time.
 constexpr Duration kIdleLinkTime = 4s;
 /// The same at a server whose connections are nearly used up.
@@ -55,17 +61,16 @@
 /// What a refused caller is told to wait.
 constexpr Duration kRetryHint = 300ms;
 
-/// Between two reads of the servers' entries on the promoter, which acts on
-/// them first, and of any table on a host that hears no promoter.
-constexpr Duration kPollInterval = 1'000ms;
-/// Between two reads on a host that hears the promoter.
-constexpr Duration kFollowerPollInterval = 3'000ms;
-/// A promoter that has not answered for longer may be gone.
-constexpr Duration kPromoterSilence = 800ms;
+/// Between two reads of the servers' entries, and of the hosts' entries, on
+/// the promoter, and of either on a host that hears nobody.
+constexpr Duration kServersPollInterval = 1'000ms;
+constexpr Duration kHostsPollInterval = 3'000ms;
 /// How long the store may hold a call that waits for a change.
-constexpr Duration kFollowWait = 8s;
-/// Before a failed call to the store is made again.
+constexpr Duration kFollowWait = 1'000ms;
+/// Before a failed call to the store is made again, the first time and at
+/// most.
 constexpr Duration kStoreRetryDelay = 300ms;
+constexpr Duration kMaxStoreRetryDelay = 900ms;
 /// A primary that is leaving gets new work for this long at most.
 constexpr Duration kLeavingPrimaryUse = 4s;
 /// An entry that is missing for longer names a server that is gone.
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "Backend/Pool.h"
+#include "Fleet/Reports.h"
+#include "Fleet/Sources.h"
 #include "Gateway/Tuning.h"
 #include "Group/Promoter.h"
 #include "Group/Takeover.h"
@@ -128,7 +130,7 @@
 {
   const Link* const link = Find(aContext.mState.mLinks, aBackend.mControlLink);
   if (link != nullptr && link->mReady && link->mExchanges.empty() &&
-      aContext.mNow - aBackend.mHeardAt > kIdleLinkTime) {
+      aContext.mNow - aBackend.mHeardAt > kIdleControlTime) {
     DropLink(aContext, aBackend.mControlLink);
   }
 }
@@ -141,6 +143,62 @@
          aGroup.mTakeover.mPhase == TakeoverPhase::None;
 }
 
+/// Whether this host is told enough of a group by others.
+bool
+IsTold(Context& aContext, const Group& aGroup)
+{
+  return !HoldsPromoterLease(aContext) && IsCalm(aContext, aGroup) &&
+         EvidenceEnd(aContext, aGroup) - aContext.mNow > kOwnSampleLead;
+}
+
+/// Whether this host is to ask the servers of a group itself. In each data
+/// centre one host does so when it is not told enough, since all of them
+/// together are more than a server has connections for.
+bool
+AsksServers(Context& aContext, Group& aGroup)
+{
+  if (IsTold(aContext, aGroup)) {
+    aGroup.mUnprovenSince.reset();
+    return false;
+  }
+  if (HoldsPromoterLease(aContext)) {
+    return true;
+  }
+  if (!aGroup.mUnprovenSince) {
+    aGroup.mUnprovenSince = aContext.mNow;
+  }
+  const Following& following = aContext.mState.mFleet.mFollowing;
+  const bool isLeftToOthers = IsFollower(aContext) || following.mWaits;
+  return !isLeftToOthers ||
+         aContext.mNow - *aGroup.mUnprovenSince > kFollowerPatience;
+}
+
+/// When a group is to be looked at again. The promoter asks all servers at the
+/// same time, so that it can report their answers together.
+Instant
+NextSample(Context& aContext, const Group& aGroup)
+{
+  if (!IsCalm(aContext, aGroup)) {
+    return aContext.mNow + kUrgentSampleInterval;
+  }
+  if (HoldsPromoterLease(aContext)) {
+    return aContext.mNow + kSampleInterval -
+           aContext.mNow.time_since_epoch() % kSampleInterval;
+  }
+  return std::max(EvidenceEnd(aContext, aGroup) - kOwnSampleLead,
+                  aContext.mNow + kUrgentSampleInterval);
+}
+
+/// Whether a status differs from an earlier one in what hosts act on.
+bool
+ChangesLead(const std::optional<BackendStatus>& aFormer,
+            const BackendStatus& aStatus)
+{
+  return !aFormer || aFormer->mPrimary != aStatus.mPrimary ||
+         aFormer->mTerm != aStatus.mTerm ||
+         (aFormer->mPausedBy == 0) != (aStatus.mPausedBy == 0);
+}
+
 /// Replaces a control connection that does not answer.
 void
 ReplaceSilentControl(Context& aContext, Backend& aBackend)
@@ -240,8 +298,15 @@
                   const BackendReply& aReply,
                   Instant aAskedAt)
 {
-  if (aReply.mStatus) {
-    TakeStatus(aContext, aBackend, *aReply.mStatus, aAskedAt);
+  if (!aReply.mStatus) {
+    return;
+  }
+  const bool changesLead = ChangesLead(aBackend.mStatus, *aReply.mStatus);
+  TakeStatus(aContext, aBackend, *aReply.mStatus, aAskedAt);
+  if (changesLead) {
+    ShareNews(aContext);
+  } else {
+    ShareNewsSoon(aContext);
   }
 }
 
@@ -253,6 +318,7 @@
 {
   aBackend.mStatus = aStatus;
   aBackend.mStatusAskedAt = aAskedAt;
+  ++aContext.mState.mFleet.mSequence;
   Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
   if (group == nullptr) {
     return;
@@ -269,27 +335,21 @@
 void
 SampleGroup(Context& aContext, Group& aGroup)
 {
-  const bool isPromoter = HoldsPromoterLease(aContext);
-  const bool isTold =
-    !isPromoter && IsCalm(aContext, aGroup) &&
-    EvidenceEnd(aContext, aGroup) - aContext.mNow > kOwnSampleLead;
+  const bool asks = AsksServers(aContext, aGroup);
   for (const ServerId id : aGroup.mServers) {
     Backend* const backend = Find(aContext.mState.mBackends, id);
     if (backend == nullptr) {
       continue;
     }
-    if (isTold) {
-      CloseUnusedControl(aContext, *backend);
-    } else {
+    if (asks) {
       SampleServer(aContext, *backend);
+    } else {
+      CloseUnusedControl(aContext, *backend);
     }
   }
   AdvanceTakeover(aContext, aGroup);
-  const bool isCalm = IsCalm(aContext, aGroup);
   aContext.mState.mTimers.ArmSooner(
-    TimerKind::SampleGroup,
-    aGroup.mId.mValue,
-    aContext.mNow + (isCalm ? kSampleInterval : kUrgentSampleInterval));
+    TimerKind::SampleGroup, aGroup.mId.mValue, NextSample(aContext, aGroup));
 }
 
 void
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -64,19 +64,6 @@
   Instant mCallAfter;
 };
 
-/// What hosts tell each other of the servers.
-struct StatusSharing
-{
-  /// Queries sent so far, and when the last one was.
-  std::uint64_t mQueries = 0;
-  Instant mAskedAt;
-  /// When the promoter's last report came.
-  Instant mReportedAt;
-  bool mHearsPromoter = false;
-  /// Which hosts last found a server silent, and when they said so.
-  std::map<ServerId, std::map<std::string, Instant>> mSilentTo;
-};
-
 /// A replicated group of backend servers.
 struct Group
 {
@@ -93,6 +80,8 @@
   std::deque<PositionSample> mSamples;
   /// Since when the primary is ahead of all replicas and none moves on.
   std::optional<Instant> mAheadSince;
+  /// Since when no server is proved to lead.
+  std::optional<Instant> mUnprovenSince;
   /// Since when no server claims to lead.
   std::optional<Instant> mNoPrimarySince;
   std::uint64_t mFurthestReplica = 0;
--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -4,6 +4,7 @@
 
 #include "Catalogue/Tables.h"
 #include "Common/Hash.h"
+#include "Fleet/Sources.h"
 #include "Gateway/Tuning.h"
 
 namespace camphorstep::gateway {
@@ -34,6 +35,26 @@
     hash % static_cast<std::uint64_t>(kClaimSpread.count())));
 }
 
+/// The store's clock, or less.
+Duration
+StoreTime(const Context& aContext)
+{
+  const PromoterState& promoter = aContext.mState.mPromoter;
+  return promoter.mStoreTimeReadAt
+           ? promoter.mStoreTime + (aContext.mNow - *promoter.mStoreTimeReadAt)
+           : Duration{ 0 };
+}
+
+void
+NoteStoreTime(Context& aContext, Duration aStoreTime)
+{
+  if (aStoreTime > StoreTime(aContext)) {
+    PromoterState& promoter = aContext.mState.mPromoter;
+    promoter.mStoreTime = aStoreTime;
+    promoter.mStoreTimeReadAt = aContext.mNow;
+  }
+}
+
 /// Whether nobody can be using the lease any more.
 bool
 IsFree(const Context& aContext)
@@ -47,9 +68,7 @@
       !IsOwn(aContext, promoter.mLease)) {
     return true;
   }
-  const Duration storeTime =
-    promoter.mStoreTime + (aContext.mNow - promoter.mStoreTimeReadAt);
-  return storeTime >=
+  return StoreTime(aContext) >=
          promoter.mSeenAt + kPromoterLeaseTime + ClaimDelay(aContext);
 }
 
@@ -57,6 +76,11 @@
 WriteLeaseRow(Context& aContext, const PromoterLease& aLease)
 {
   PromoterState& promoter = aContext.mState.mPromoter;
+  const bool isRepeated = promoter.mClaimed.mToken == aLease.mToken &&
+                          promoter.mClaimed.mRowVersion == aLease.mRowVersion;
+  if (!isRepeated) {
+    promoter.mClaimedAt = aContext.mNow;
+  }
   promoter.mClaimed = aLease;
   promoter.mCall = NewId<CallId>(aContext);
   promoter.mCallSentAt = aContext.mNow;
@@ -95,9 +119,13 @@
 }
 
 void
-TakeEffect(Context& aContext, std::uint64_t aRowVersion)
+TakeEffect(Context& aContext,
+           std::uint64_t aRowVersion,
+           Duration aStoreTime,
+           Instant aSentAt)
 {
   PromoterState& promoter = aContext.mState.mPromoter;
+  promoter.mSeenAt = aStoreTime;
   const bool isNew = promoter.mLease.mToken != promoter.mClaimed.mToken;
   promoter.mLease = promoter.mClaimed;
   promoter.mLease.mRowVersion = aRowVersion;
@@ -105,8 +133,7 @@
   if (!IsOwn(aContext, promoter.mLease)) {
     return;
   }
-  promoter.mHeldUntil =
-    promoter.mCallSentAt + kPromoterLeaseTime - kPromoterLeaseMargin;
+  promoter.mHeldUntil = aSentAt + kPromoterLeaseTime - kPromoterLeaseMargin;
   if (isNew) {
     Log(aContext,
         LogSeverity::Info,
@@ -115,33 +142,23 @@
   }
 }
 
-}
-
-bool
-HoldsPromoterLease(const Context& aContext)
-{
-  return aContext.mNow < aContext.mState.mPromoter.mHeldUntil;
-}
-
+/// Takes a row of the lease into account, which was there at a time of the
+/// store's clock.
 void
-NoteLease(Context& aContext, const TableAnswer& aAnswer)
+LearnLease(Context& aContext, const PromoterLease& aLease, Duration aSeenAt)
 {
   PromoterState& promoter = aContext.mState.mPromoter;
-  promoter.mStoreTime = aAnswer.mStoreTime;
-  promoter.mStoreTimeReadAt = aContext.mNow;
-  if (!aAnswer.mLease || (promoter.mSeen && aAnswer.mLease->mRowVersion <=
-                                              promoter.mLease.mRowVersion)) {
+  if (promoter.mSeen && aLease.mRowVersion <= promoter.mLease.mRowVersion) {
     return;
   }
   // A write without an answer has taken effect after all.
-  if (IsOwn(aContext, *aAnswer.mLease) &&
-      aAnswer.mLease->mToken == promoter.mClaimed.mToken) {
-    TakeEffect(aContext, aAnswer.mLease->mRowVersion);
+  if (IsOwn(aContext, aLease) && aLease.mToken == promoter.mClaimed.mToken) {
+    TakeEffect(aContext, aLease.mRowVersion, aSeenAt, promoter.mClaimedAt);
   }
-  const bool isNewHolder = promoter.mLease.mHolder != aAnswer.mLease->mHolder;
-  promoter.mLease = *aAnswer.mLease;
+  const bool isNewHolder = promoter.mLease.mHolder != aLease.mHolder;
+  promoter.mLease = aLease;
   promoter.mSeen = true;
-  promoter.mSeenAt = aAnswer.mStoreTime;
+  promoter.mSeenAt = aSeenAt;
   if (!IsOwn(aContext, promoter.mLease)) {
     promoter.mHeldUntil = Instant{};
   }
@@ -154,6 +171,42 @@
   }
 }
 
+}
+
+bool
+HoldsPromoterLease(const Context& aContext)
+{
+  return aContext.mNow < aContext.mState.mPromoter.mHeldUntil;
+}
+
+void
+NoteLease(Context& aContext, const TableAnswer& aAnswer)
+{
+  NoteStoreTime(aContext, aAnswer.mStoreTime);
+  if (aAnswer.mLease) {
+    LearnLease(aContext, *aAnswer.mLease, aAnswer.mStoreTime);
+  }
+}
+
+std::optional<LeaseNews>
+ReportLease(const Context& aContext)
+{
+  const PromoterState& promoter = aContext.mState.mPromoter;
+  if (!promoter.mSeen) {
+    return std::nullopt;
+  }
+  return LeaseNews{ promoter.mLease, promoter.mSeenAt, StoreTime(aContext) };
+}
+
+void
+ApplyLeaseNews(Context& aContext, const NewsReport& aReport)
+{
+  if (aReport.mLease) {
+    NoteStoreTime(aContext, aReport.mLease->mStoreTime);
+    LearnLease(aContext, aReport.mLease->mLease, aReport.mLease->mSeenAt);
+  }
+}
+
 void
 MaintainPromoterLease(Context& aContext)
 {
@@ -170,7 +223,8 @@
     }
   } else if (isHeld && HoldsPromoterLease(aContext)) {
     Renew(aContext);
-  } else if (aContext.mState.mReady && (isHeld || IsFree(aContext))) {
+  } else if (aContext.mState.mReady && !IsFollower(aContext) &&
+             (isHeld || IsFree(aContext))) {
     Claim(aContext);
   }
 }
@@ -184,7 +238,9 @@
   }
   promoter.mCall = CallId{};
   if (aEvent.mOutcome == CallOutcome::Ok) {
-    TakeEffect(aContext, aEvent.mVersion);
+    NoteStoreTime(aContext, aEvent.mStoreTime);
+    TakeEffect(
+      aContext, aEvent.mVersion, aEvent.mStoreTime, promoter.mCallSentAt);
     return true;
   }
   Log(aContext,
--- a/Source/Group/Promoter.h
+++ b/Source/Group/Promoter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "Gateway/Context.h"
 #include "Gateway/Event.h"
 
@@ -11,6 +13,12 @@
 /// Learns from the store's rows who holds the lease.
 void NoteLease(Context& aContext, const TableAnswer& aAnswer);
 
+/// The lease as this host knows it, for other hosts.
+std::optional<LeaseNews> ReportLease(const Context& aContext);
+
+/// Learns from another host's report who holds the lease.
+void ApplyLeaseNews(Context& aContext, const NewsReport& aReport);
+
 /// Takes, renews or gives back the lease if it is time.
 void MaintainPromoterLease(Context& aContext);
 
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -4,11 +4,11 @@
 #include <array>
 
 #include "Common/NamedEnum.h"
+#include "Fleet/Silence.h"
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
 #include "Group/Fencing.h"
 #include "Group/Promoter.h"
-#include "Group/Sharing.h"
 
 namespace camphorstep::gateway {
 
--- a/Source/Model/IniReader.h
+++ b/Source/Model/IniReader.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <array>
+#include <charconv>
 #include <cstdint>
 #include <limits>
 #include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <unordered_set>
 #include <utility>
 
@@ -40,6 +42,25 @@
     }
   }
 
+  /// Reads a decimal number within a range.
+  void Read(std::string_view aKey, double& aValue, double aMin, double aMax)
+  {
+    const IniEntry* const entry = Take(aKey);
+    if (entry == nullptr) {
+      return;
+    }
+    const char* const end = entry->mValue.data() + entry->mValue.size();
+    double value = 0;
+    const auto parsed = std::from_chars(entry->mValue.data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+      Fail(*entry, "is not a number");
+    }
+    if (!(value >= aMin && value <= aMax)) {
+      Fail(*entry, "is out of range");
+    }
+    aValue = value;
+  }
+
   /// Reads a duration given in milliseconds.
   void ReadMilliseconds(std::string_view aKey,
                         Duration& aValue,
--- a/Source/Settings/GatewaySettings.cpp
+++ b/Source/Settings/GatewaySettings.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::string_view kDataCentrePrefix = "data_centre.";
 constexpr std::int64_t kMaxGraceMs = 600'000;
+constexpr double kMinProcessorShare = 0.001;
+constexpr double kMaxProcessorShare = 1'000.0;
 
 Address
 RequireAddress(IniReader& aReader, std::string_view aKey)
@@ -33,6 +35,10 @@
   if (aSection.mName == "host") {
     aSettings.mHostName = reader.Require("name");
     aSettings.mDataCentre = reader.Require("data_centre");
+    reader.Read("processor_share",
+                aSettings.mProcessorShare,
+                kMinProcessorShare,
+                kMaxProcessorShare);
   } else if (aSection.mName == "listen") {
     aSettings.mCallerAddress = RequireAddress(reader, "callers");
     aSettings.mReadinessAddress = RequireAddress(reader, "readiness");
--- a/Source/Settings/GatewaySettings.h
+++ b/Source/Settings/GatewaySettings.h
@@ -15,6 +15,8 @@
   // [host]
   std::string mHostName;
   std::string mDataCentre;
+  /// The processor time that the host may use, in cores.
+  double mProcessorShare = 1.0;
 
   // [listen]
   Address mCallerAddress;
--- a/Source/Shell/GatewayPeers.cpp
+++ b/Source/Shell/GatewayPeers.cpp
@@ -12,9 +12,6 @@
 
 constexpr int kBacklog = 128;
 constexpr std::size_t kMaxIncoming = 4'096;
-/// After so many queries without an answer the connection is replaced, since
-/// it may have gone silent.
-constexpr int kMaxUnanswered = 4;
 /// How long closed connections may wait to be freed.
 constexpr double kCollectMilliseconds = 50.0;
 
@@ -38,13 +35,12 @@
 GatewayPeers::Carry(const gateway::AskPeer& aEffect)
 {
   const bool isElsewhere = !(aEffect.mAddress == mOutgoingAddress);
-  if (isElsewhere || mUnanswered >= kMaxUnanswered) {
+  if (isElsewhere || aEffect.mOnNewConnection) {
     CloseOutgoing();
   }
   if (!mOutgoing) {
     OpenOutgoing(aEffect.mAddress);
   }
-  ++mUnanswered;
   if (mOutgoing) {
     mOutgoing->Send(Encode(gateway::PeerMessage(aEffect.mQuery)));
   }
@@ -97,7 +93,7 @@
 {
   try {
     const auto message = Decode<gateway::PeerMessage>(aPayload);
-    if (const auto* const query = std::get_if<gateway::StatusQuery>(&message)) {
+    if (const auto* const query = std::get_if<gateway::NewsQuery>(&message)) {
       mSink.Deliver(gateway::PeerAsked{ aLink, *query });
     }
   } catch (const DecodeError& ex) {
@@ -113,16 +109,14 @@
 {
   try {
     const auto message = Decode<gateway::PeerMessage>(aPayload);
-    mUnanswered = 0;
-    if (const auto* const report =
-          std::get_if<gateway::StatusReport>(&message)) {
+    if (const auto* const report = std::get_if<gateway::NewsReport>(&message)) {
       mSink.Deliver(*report);
     }
   } catch (const DecodeError& ex) {
     WriteLog(LogLevel::Warning,
              "host sent a malformed report; closing the connection",
              { { "error", ex.what() } });
-    CloseOutgoing();
+    LoseOutgoing();
   }
 }
 
@@ -144,9 +138,8 @@
   handlers.mOnFrame = [this](const std::string& aPayload) {
     HandleReport(aPayload);
   };
-  handlers.mOnClosed = [this] { CloseOutgoing(); };
+  handlers.mOnClosed = [this] { LoseOutgoing(); };
   mOutgoingAddress = aAddress;
-  mUnanswered = 0;
   mOutgoing = std::make_unique<FramedConnection>(std::move(handlers));
   mOutgoing->Connect(mLoop, aAddress);
 }
@@ -159,6 +152,13 @@
   }
 }
 
+void
+GatewayPeers::LoseOutgoing()
+{
+  CloseOutgoing();
+  mSink.Deliver(gateway::PeerLost{});
+}
+
 void
 GatewayPeers::Retire(std::unique_ptr<FramedConnection> aConnection)
 {
--- a/Source/Shell/GatewayPeers.h
+++ b/Source/Shell/GatewayPeers.h
@@ -35,6 +35,8 @@
   void RemoveIncoming(gateway::PeerLinkId aLink);
   void OpenOutgoing(const Address& aAddress);
   void CloseOutgoing();
+  /// Closes the outgoing connection and tells the core.
+  void LoseOutgoing();
   void Retire(std::unique_ptr<FramedConnection> aConnection);
 
   cxxtools::SelectorBase& mLoop;
@@ -46,8 +48,6 @@
     mIncoming;
   std::unique_ptr<FramedConnection> mOutgoing;
   Address mOutgoingAddress;
-  /// Queries that have not been answered on the outgoing connection.
-  int mUnanswered = 0;
   std::vector<std::unique_ptr<FramedConnection>> mRetired;
 };
 
--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -28,6 +28,8 @@
 /// signal.
 constexpr double kSettingsCheckMilliseconds = 2'000.0;
 
+constexpr double kThousandths = 1'000.0;
+
 /// Wakes the event loop because a stop is asked for.
 class StopEvent : public cxxtools::BasicEvent<StopEvent>
 {};
@@ -54,7 +56,9 @@
                          aSettings.mPeerAddress,
                          aSettings.mDataCentre,
                          // Fits the signed numbers of JSON readers.
-                         RandomBits() >> 1U };
+                         RandomBits() >> 1U,
+                         static_cast<std::uint32_t>(aSettings.mProcessorShare *
+                                                    kThousandths) };
   state.mSelf.mRegions = aSettings.mRegions;
   state.mSelf.mStopGrace = aSettings.mStopGrace;
   return state;
--- /dev/null
+++ b/Tests/Gateway/LeaseTest.cpp
@@ -0,0 +1,121 @@
+#include <catch2/catch.hpp>
+
+#include "Follower.h"
+#include "Gateway/Context.h"
+#include "Group/Promoter.h"
+
+using namespace camphorstep;
+using namespace camphorstep::gateway;
+
+namespace {
+
+bool
+Holds(GatewayDriver& aDriver)
+{
+  std::vector<gateway::Effect> effects;
+  return HoldsPromoterLease(Context{ aDriver.mState, aDriver.mNow, effects });
+}
+
+/// Tells the host of the lease's row as the store has it.
+void
+ShowLease(GatewayDriver& aDriver, const PromoterLease& aLease, Duration aTime)
+{
+  TableProgress& table = aDriver.mState.mCatalogue.mTables.at(2);
+  if (!table.mCall) {
+    table.mCall = gateway::CallId{ ++aDriver.mState.mLastId };
+  }
+  TableAnswer answer;
+  answer.mCall = table.mCall;
+  answer.mTable = Table::Fleet;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mVersion = ++aDriver.mStoreVersion;
+  answer.mStoreTime = aTime;
+  answer.mLease = aLease;
+  aDriver.Deliver(answer);
+}
+
+}
+
+TEST_CASE("A lease whose writes were not answered counts from the first",
+          "[Lease]")
+{
+  GatewayDriver driver;
+  driver.mEffects.clear();
+  const PromoterLease held = driver.mState.mPromoter.mLease;
+  // The renewal takes effect, but its answer is lost.
+  std::optional<WriteLease> renewal;
+  while (!renewal) {
+    driver.Pass(10ms);
+    renewal = driver.Take<WriteLease>();
+  }
+  const Instant written = driver.mNow;
+  driver.Pass(1'500ms);
+  driver.Deliver(StoreWritten{ renewal->mCall, CallOutcome::Unknown });
+  // It is sent again before anything was read.
+  driver.Pass(500ms);
+  const auto second = driver.Take<WriteLease>();
+  REQUIRE(second);
+  CHECK(second->mLease.mRowVersion == held.mRowVersion);
+  driver.Deliver(StoreWritten{ second->mCall, CallOutcome::Conflict });
+  PromoterLease row = held;
+  row.mRowVersion = ++driver.mStoreVersion;
+  ShowLease(driver, row, 1000s);
+  CHECK(Holds(driver));
+  while (driver.mNow < written + kPromoterLeaseTime) {
+    driver.Pass(10ms);
+    while (driver.Take<WriteLease>()) {
+    }
+  }
+  CHECK_FALSE(Holds(driver));
+}
+
+TEST_CASE("A lease is not taken over by the host's own clock", "[Lease]")
+{
+  Follower driver;
+  driver.mState.mTimers.Arm(TimerKind::PromoterLease, 0, driver.mNow);
+  driver.mState.mPromoter = PromoterState{};
+  driver.mState.mCatalogue.mHosts.erase("h2");
+  // The store has just been started, long after this host.
+  ShowLease(driver, { "h2", 5, 3, ++driver.mStoreVersion }, 20ms);
+  driver.mEffects.clear();
+  driver.Pass(kPromoterLeaseTime - 500ms);
+  CHECK_FALSE(driver.Take<WriteLease>());
+  driver.Pass(2s);
+  CHECK(driver.Take<WriteLease>());
+}
+
+TEST_CASE("A host that hears another of its data centre leaves the lease to it",
+          "[Lease]")
+{
+  Follower driver;
+  driver.mState.mTimers.Arm(TimerKind::PromoterLease, 0, driver.mNow);
+  driver.mState.mPromoter.mLease = {};
+  driver.Follow(1s);
+  driver.mEffects.clear();
+  for (int n = 0; n < 50; ++n) {
+    driver.Follow(10ms);
+    CHECK_FALSE(driver.Take<WriteLease>());
+  }
+}
+
+TEST_CASE("Hosts tell each other how long the lease has been seen", "[Lease]")
+{
+  Follower driver;
+  driver.mState.mCatalogue.mHosts["h2"].mDataCentre = "b";
+  driver.mState.mTimers.Arm(TimerKind::PromoterLease, 0, driver.mNow);
+  ShowLease(driver, { "h2", 5, 3, ++driver.mStoreVersion }, 1000s);
+  driver.Follow(100ms);
+  while (!driver.mQuery) {
+    driver.Follow(10ms);
+  }
+  NewsReport report = driver.MakeReport(*driver.mQuery, 0ms);
+  report.mLease =
+    LeaseNews{ { "h2", 5, 3, ++driver.mStoreVersion }, 1'002s, 1'002'500ms };
+  driver.Deliver(report);
+  driver.mEffects.clear();
+  // By the store's clock the row was there 500 ms ago.
+  driver.Pass(kPromoterLeaseTime - 600ms);
+  CHECK_FALSE(driver.Take<WriteLease>());
+  driver.Pass(1s);
+  CHECK(driver.Take<WriteLease>());
+}
--- a/Tests/Gateway/RoutingTest.cpp
+++ b/Tests/Gateway/RoutingTest.cpp
@@ -101,7 +101,7 @@
 {
   GatewayDriver driver;
   TableAnswer answer;
-  driver.Run(kPollInterval);
+  driver.Run(kServersPollInterval);
   answer.mCall = driver.mState.mCatalogue.mTables[1].mCall;
   answer.mTable = Table::Servers;
   answer.mOutcome = CallOutcome::Ok;
--- /dev/null
+++ b/Tests/Gateway/TablesTest.cpp
@@ -0,0 +1,188 @@
+#include <catch2/catch.hpp>
+
+#include "Follower.h"
+
+using namespace camphorstep;
+using namespace camphorstep::gateway;
+
+namespace {
+
+std::size_t
+CountPolls(GatewayDriver& aDriver)
+{
+  std::size_t n = 0;
+  while (aDriver.Take<FollowTable>()) {
+    ++n;
+  }
+  return n;
+}
+
+TableProgress&
+TableOf(GatewayDriver& aDriver, Table aTable)
+{
+  return aDriver.mState.mCatalogue.mTables.at(static_cast<std::size_t>(aTable));
+}
+
+/// Ends the calls for tables that are underway as if nothing had changed.
+void
+EndPolls(GatewayDriver& aDriver, CallOutcome aOutcome)
+{
+  for (std::size_t n = 0; n < kTableCount; ++n) {
+    const TableProgress& table = aDriver.mState.mCatalogue.mTables.at(n);
+    if (table.mCall) {
+      TableAnswer answer;
+      answer.mCall = table.mCall;
+      answer.mTable = static_cast<Table>(n);
+      answer.mOutcome = aOutcome;
+      answer.mVersion = table.mVersion;
+      aDriver.Deliver(answer);
+    }
+  }
+}
+
+/// A report on the query that waits, with a later version of the routes.
+NewsReport
+ReportRoutes(Follower& aDriver, std::uint64_t aVersion)
+{
+  while (!aDriver.mQuery) {
+    aDriver.Follow(10ms);
+  }
+  NewsReport report = aDriver.MakeReport(*aDriver.mQuery, 50ms);
+  TableNews& news = report.mTables.at(0);
+  news.mVersion = ++aDriver.mStoreVersion;
+  news.mContent.emplace();
+  news.mContent->mRouting.emplace();
+  news.mContent->mRouting->mVersion = aVersion;
+  news.mContent->mRouting->mRoutes = { { "new", "group" } };
+  return report;
+}
+
+}
+
+TEST_CASE("A host that is told of the tables does not ask the store",
+          "[Tables]")
+{
+  Follower driver;
+  driver.Follow(1s);
+  EndPolls(driver, CallOutcome::Ok);
+  CountPolls(driver);
+  driver.Follow(5s);
+  CHECK(CountPolls(driver) == 0);
+  SECTION("until the source itself hears nothing from it")
+  {
+    for (int n = 0; n < 300; ++n) {
+      driver.Run(10ms);
+      if (const auto query = driver.Take<AskPeer>()) {
+        NewsReport report = driver.MakeReport(query->mQuery, 50ms);
+        for (TableNews& news : report.mTables) {
+          news.mAge = 10s;
+        }
+        driver.Deliver(report);
+      }
+    }
+    CHECK(driver.mState.mCatalogue.mTables.at(0).mCall);
+  }
+  SECTION("until the source is gone")
+  {
+    driver.Run(1s);
+    CHECK(CountPolls(driver) >= 2);
+  }
+}
+
+TEST_CASE("A configuration passes from host to host", "[Tables]")
+{
+  Follower driver;
+  driver.Follow(500ms);
+  driver.Deliver(ReportRoutes(driver, 7));
+  CHECK(driver.mState.mCatalogue.mRoutingVersion == 7);
+  CHECK(driver.mState.mCatalogue.mRoutes.contains("new"));
+  SECTION("on to those that wait")
+  {
+    PeerAsked asked{ PeerLinkId{ 4 }, {} };
+    asked.mQuery.mHost = "h3";
+    asked.mQuery.mVersions.fill(1);
+    driver.Deliver(asked);
+    const auto answer = driver.Take<AnswerPeer>();
+    REQUIRE(answer);
+    REQUIRE(answer->mReport.mTables.at(0).mContent);
+    CHECK(answer->mReport.mTables.at(0).mContent->mRouting->mVersion == 7);
+  }
+  SECTION("and an earlier one does not replace it")
+  {
+    driver.mQuery.reset();
+    driver.Follow(100ms);
+    driver.Deliver(ReportRoutes(driver, 6));
+    CHECK(driver.mState.mCatalogue.mRoutingVersion == 7);
+    CHECK(driver.mState.mCatalogue.mRoutes.contains("new"));
+  }
+}
+
+TEST_CASE("Rows that are older than what is known are not used", "[Tables]")
+{
+  GatewayDriver driver;
+  TableProgress& table = TableOf(driver, Table::Servers);
+  EndPolls(driver, CallOutcome::HistoryLost);
+  driver.Pass(10ms);
+  REQUIRE(driver.Take<ReadTable>());
+  TableAnswer stale;
+  stale.mCall = table.mCall;
+  stale.mTable = Table::Servers;
+  stale.mOutcome = CallOutcome::Ok;
+  stale.mWhole = true;
+  stale.mVersion = table.mVersion - 1;
+  driver.Deliver(stale);
+  for (const auto& [id, backend] : driver.mState.mBackends) {
+    CHECK_FALSE(backend.mMissingSince);
+  }
+}
+
+TEST_CASE("A table of several pages is used when it is whole", "[Tables]")
+{
+  GatewayDriver driver;
+  EndPolls(driver, CallOutcome::HistoryLost);
+  driver.Pass(10ms);
+  const auto page = [&driver](const std::string& aServer,
+                              const std::string& aMoreFrom) {
+    TableAnswer answer;
+    answer.mCall = TableOf(driver, Table::Servers).mCall;
+    answer.mTable = Table::Servers;
+    answer.mOutcome = CallOutcome::Ok;
+    answer.mWhole = true;
+    answer.mVersion = ++driver.mStoreVersion;
+    answer.mMoreFrom = aMoreFrom;
+    ServerEntry entry;
+    entry.mName = aServer;
+    entry.mGroup = "group";
+    answer.mServers.push_back({ aServer, entry });
+    driver.Deliver(answer);
+  };
+  driver.mEffects.clear();
+  page("s8", "s8");
+  const auto next = driver.Take<ReadTable>();
+  REQUIRE(next);
+  CHECK(next->mFrom == "s8");
+  CHECK_FALSE(driver.mState.mBackends.contains(IdOf<ServerId>("s8")));
+  page("s9", "");
+  CHECK(driver.mState.mBackends.contains(IdOf<ServerId>("s8")));
+  CHECK(driver.mState.mBackends.contains(IdOf<ServerId>("s9")));
+}
+
+TEST_CASE("A host whose entry was removed writes it again", "[Tables]")
+{
+  GatewayDriver driver;
+  EndPolls(driver, CallOutcome::HistoryLost);
+  driver.Pass(10ms);
+  driver.mEffects.clear();
+  TableAnswer answer;
+  answer.mCall = TableOf(driver, Table::Fleet).mCall;
+  answer.mTable = Table::Fleet;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mWhole = true;
+  answer.mVersion = ++driver.mStoreVersion;
+  HostEntry other;
+  other.mName = "h9";
+  answer.mHosts.push_back({ "h9", other });
+  driver.Deliver(answer);
+  driver.Pass(10ms);
+  CHECK(driver.Take<WriteHostEntry>());
+}
