Session: Send reads where there are connections left

Cause: in bursts on the grown fleet most refused statements waited for a connection to a server that held all it takes (49 for 62 hosts), while another replica or the primary had some left; only slots counted in the choice.

Change: a server without a connection for this host costs as much as 150 ms in the choice; a refused opening marks it as full for 300 ms and has what waits look again. The primary takes a bounded read when the replicas cost 100 ms more than it. At a server with 85 % of its connections used, idle ones are closed after 10 ms.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -82,6 +82,8 @@
   std::vector<LinkId> mLinks;
   std::uint32_t mOpening = 0;
   Instant mOpenAfter;
+  /// Until when the server is taken to hold as many connections as it can.
+  Instant mFullUntil;
   /// Statements of this host that the server is running.
   std::uint32_t mRunning = 0;
   std::map<QueuePlace, SessionId> mQueue;
--- a/Source/Backend/Links.cpp
+++ b/Source/Backend/Links.cpp
@@ -39,6 +39,22 @@
   HandleLostLink(aContext, lost);
 }
 
+/// Notes what the refusal of a connection says about the server.
+void
+NoteRefusedOpening(Context& aContext,
+                   Backend& aBackend,
+                   const LinkClosed& aEvent)
+{
+  if (aEvent.mCode == ResultCode::TooManyConnections) {
+    aBackend.mFullUntil = aContext.mNow + kFullTime;
+    aBackend.mOpenAfter = aContext.mNow + kFullRetryDelay;
+    return;
+  }
+  aBackend.mOpenAfter = aContext.mNow + kOpenRetryDelay;
+  const bool byMachine = aEvent.mAnswered && aEvent.mCode == ResultCode::Ok;
+  aBackend.mRefusals += byMachine ? 1 : 0;
+}
+
 void
 HandleRollbackReply(Context& aContext, Link& aLink, const BackendReply& aReply)
 {
@@ -91,12 +107,14 @@
         { "code", std::string(NameOf(aEvent.mCode)) },
         { "control", link.mControl ? "yes" : "no" } });
   if (!link.mReady) {
-    backend.mOpenAfter = aContext.mNow + kOpenRetryDelay;
-    const bool byMachine = aEvent.mAnswered && aEvent.mCode == ResultCode::Ok;
-    backend.mRefusals += byMachine ? 1 : 0;
+    NoteRefusedOpening(aContext, backend, aEvent);
   }
   NoteLostConnection(aContext, backend, link.mControl);
   HandleLostLink(aContext, link);
+  if (aEvent.mCode == ResultCode::TooManyConnections) {
+    // Another server may have a connection for what waits.
+    RerouteQueue(aContext, backend);
+  }
   if (!backend.mQueue.empty()) {
     aContext.mState.mTimers.ArmSooner(
       TimerKind::Pool, backend.mId.mValue, backend.mOpenAfter);
--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -52,26 +52,44 @@
   return most <= kSpareConnections ? 1 : (most - kSpareConnections + 1) / 2;
 }
 
+/// The percentage of a server's connections that were used when it last said
+/// so.
+std::uint32_t
+UsedPercent(const Context& aContext, const Backend& aBackend)
+{
+  const Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
+  if (group == nullptr || !aBackend.mStatus ||
+      group->mRules.mMaxConnections == 0) {
+    return 0;
+  }
+  return 100 * aBackend.mStatus->mConnections / group->mRules.mMaxConnections;
+}
+
 /// Whether the server is known to hold as many connections as it takes.
 bool
 IsFull(const Context& aContext, const Backend& aBackend)
 {
   const Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
-  return group != nullptr && aBackend.mStatus &&
-         aBackend.mStatus->mConnections + 1 >= group->mRules.mMaxConnections;
+  return aContext.mNow < aBackend.mFullUntil ||
+         (group != nullptr && aBackend.mStatus &&
+          aBackend.mStatus->mConnections + 1 >= group->mRules.mMaxConnections);
 }
 
 /// How long a connection to the server may be idle before it is closed.
 Duration
 IdleLinkTime(const Context& aContext, const Backend& aBackend)
 {
-  const Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
-  if (group == nullptr || !aBackend.mStatus) {
-    return kIdleLinkTime;
+  const std::uint32_t used = UsedPercent(aContext, aBackend);
+  if (used >= kVeryScarcePercent || aContext.mNow < aBackend.mFullUntil) {
+    return kVeryScarceIdleLinkTime;
   }
-  const bool isScarce = 100 * aBackend.mStatus->mConnections >=
-                        kScarcePercent * group->mRules.mMaxConnections;
-  return isScarce ? kScarceIdleLinkTime : kIdleLinkTime;
+  return used >= kScarcePercent ? kScarceIdleLinkTime : kIdleLinkTime;
+}
+
+bool
+IsIdle(const Link& aLink)
+{
+  return aLink.mReady && !aLink.mSession && aLink.mExchanges.empty();
 }
 
 /// Finds the idle connection that needs the least preparation, or nullptr.
@@ -84,8 +102,7 @@
   int bestEffort = 0;
   for (const LinkId id : aBackend.mLinks) {
     Link* const link = Find(aContext.mState.mLinks, id);
-    if (link == nullptr || !link->mReady || link->mSession ||
-        !link->mExchanges.empty()) {
+    if (link == nullptr || !IsIdle(*link)) {
       continue;
     }
     const int effort = PreparationEffort(*link, aSession);
@@ -122,6 +139,19 @@
 
 }
 
+bool
+HasRoom(const Context& aContext, const Backend& aBackend)
+{
+  if (!IsFull(aContext, aBackend)) {
+    return true;
+  }
+  return std::any_of(
+    aBackend.mLinks.begin(), aBackend.mLinks.end(), [&](LinkId aId) {
+      const Link* const link = Find(aContext.mState.mLinks, aId);
+      return link != nullptr && IsIdle(*link);
+    });
+}
+
 Proximity
 ProximityTo(const Context& aContext, const Backend& aBackend)
 {
@@ -304,9 +334,8 @@
     }
     const bool isStuck =
       !link->mReady && aContext.mNow - link->mOpenedAt >= kOpenTimeout;
-    const bool isIdle =
-      link->mReady && !link->mSession && link->mExchanges.empty() &&
-      aContext.mNow - link->mIdleSince >= IdleLinkTime(aContext, aBackend);
+    const bool isIdle = IsIdle(*link) && aContext.mNow - link->mIdleSince >=
+                                           IdleLinkTime(aContext, aBackend);
     if (isStuck) {
       Log(aContext,
           LogSeverity::Warning,
--- a/Source/Backend/Pool.h
+++ b/Source/Backend/Pool.h
@@ -40,6 +40,10 @@
 /// Opens connections that wait for their time and closes idle ones.
 void MaintainPool(Context& aContext, Backend& aBackend);
 
+/// Whether a statement could start at a server without waiting for a
+/// connection that others hold.
+bool HasRoom(const Context& aContext, const Backend& aBackend);
+
 /// How near a server is to this host.
 Proximity ProximityTo(const Context& aContext, const Backend& aBackend);
 
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -49,10 +49,18 @@
 constexpr Duration kIdleControlTime = 1s;
 /// An idle connection is closed after this time.
 constexpr Duration kIdleLinkTime = 4s;
-/// The same at a server whose connections are nearly used up.
+/// The same at a server whose connections are scarce, and at one that has
+/// hardly any left.
 constexpr Duration kScarceIdleLinkTime = 150ms;
+constexpr Duration kVeryScarceIdleLinkTime = 10ms;
 /// Connections are scarce when so many percent of them are used.
 constexpr std::uint32_t kScarcePercent = 70;
+constexpr std::uint32_t kVeryScarcePercent = 85;
+/// A server that refused a connection because it holds too many is taken to be
+/// full for this time.
+constexpr Duration kFullTime = 300ms;
+/// Between two openings at a full server.
+constexpr Duration kFullRetryDelay = 40ms;
 
 /// How often one statement may be sent to servers while none has run it.
 constexpr std::uint32_t kMaxAttempts = 5;
--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -18,6 +18,10 @@
 /// A server that has just failed the statement is taken only if no other can.
 constexpr Duration kAvoidedCost = 500ms;
 constexpr Duration kSilentCost = 300ms;
+/// A server that has no connection left.
+constexpr Duration kFullCost = 150ms;
+/// What is better left to the primary costs as much as this time.
+constexpr Duration kPrimaryCost = 100ms;
 /// A replica is expected to have what the primary had longer ago than its
 /// lag and this.
 constexpr Duration kApplyMargin = 40ms;
@@ -75,6 +79,9 @@
   if (aActive.mAvoid == aBackend.mId) {
     cost += kAvoidedCost;
   }
+  if (!HasRoom(aContext, aBackend)) {
+    cost += kFullCost;
+  }
   const Instant known = std::max(aBackend.mHeardAt, aBackend.mStatusAskedAt);
   if (aContext.mNow - known > kLeaseTime ||
       aBackend.mSilentAt > aBackend.mHeardAt) {
@@ -111,17 +118,22 @@
 Backend*
 ChooseServer(Context& aContext, const Session& aSession, Group& aGroup)
 {
-  if (!NeedsPrimary(aContext, aSession)) {
-    if (const auto required = RequiredOfReplica(aContext, aSession)) {
-      if (Backend* const replica =
-            ChooseReplica(aContext, aSession, aGroup, *required)) {
-        return replica;
-      }
-    }
-  }
-  Backend* const primary = ProvenPrimary(aContext, aGroup);
-  return primary != nullptr && TakesNewWork(*primary, aContext.mNow) ? primary
-                                                                     : nullptr;
+  Backend* primary = ProvenPrimary(aContext, aGroup);
+  if (primary != nullptr && !TakesNewWork(*primary, aContext.mNow)) {
+    primary = nullptr;
+  }
+  const auto required = NeedsPrimary(aContext, aSession)
+                          ? std::nullopt
+                          : RequiredOfReplica(aContext, aSession);
+  Backend* const replica =
+    required ? ChooseReplica(aContext, aSession, aGroup, *required) : nullptr;
+  if (primary == nullptr || replica == nullptr) {
+    return replica == nullptr ? primary : replica;
+  }
+  const Duration atReplica = CostOf(aContext, *replica, *aSession.mActive);
+  const Duration atPrimary =
+    CostOf(aContext, *primary, *aSession.mActive) + kPrimaryCost;
+  return atPrimary < atReplica ? primary : replica;
 }
 
 }
--- a/Tests/Gateway/GatewayDriver.cpp
+++ b/Tests/Gateway/GatewayDriver.cpp
@@ -126,7 +126,11 @@
 GatewayDriver::OpenLinks()
 {
   while (const auto open = Take<OpenLink>()) {
-    if (!Server(open->mServer).mDown) {
+    const FakeServer& server = Server(open->mServer);
+    const bool isControl = Find(mState.mLinks, open->mLink)->mControl;
+    if (server.mIsFull && !isControl) {
+      Deliver(LinkClosed{ open->mLink, ResultCode::TooManyConnections, true });
+    } else if (!server.mDown) {
       Deliver(LinkReady{ open->mLink, std::nullopt });
     }
   }
@@ -278,6 +282,7 @@
   status.mTerm = aServer.mTerm;
   status.mReceived = { aServer.mTerm, aServer.mIndex };
   status.mPausedBy = aServer.mPausedBy;
+  status.mConnections = aServer.mConnections;
   reply.mStatus = status;
   reply.mPosition = status.mReceived;
   return reply;
--- a/Tests/Gateway/GatewayDriver.h
+++ b/Tests/Gateway/GatewayDriver.h
@@ -98,6 +98,9 @@
     Term mTerm = 1;
     std::uint64_t mIndex = 100;
     Term mPausedBy = 0;
+    std::uint32_t mConnections = 0;
+    /// Whether it refuses connections because it holds too many.
+    bool mIsFull = false;
   };
 
   FakeServer& Server(const std::string& aName);
--- a/Tests/Gateway/RoutingTest.cpp
+++ b/Tests/Gateway/RoutingTest.cpp
@@ -116,3 +116,53 @@
   REQUIRE(read);
   CHECK(driver.ServerOf(read->mLink) != "s2");
 }
+
+TEST_CASE("Reads go where there are connections left", "[Routing]")
+{
+  GatewayDriver driver;
+  SECTION("by the server's status")
+  {
+    driver.Server("s2").mConnections = 20;
+    driver.Run(500ms);
+  }
+  SECTION("by the server's refusal")
+  {
+    driver.Server("s2").mIsFull = true;
+  }
+  driver.OpenSession(1, "near");
+  driver.Send(1, StatementKind::Read);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  CHECK(driver.ServerOf(read->mLink) == "s3");
+}
+
+TEST_CASE("Reads go to the primary when the replicas have no connections left",
+          "[Routing]")
+{
+  GatewayDriver driver;
+  driver.Server("s2").mConnections = 20;
+  driver.Server("s3").mConnections = 20;
+  driver.Run(500ms);
+  driver.OpenSession(1, "near");
+  driver.Send(1, StatementKind::Read);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  CHECK(driver.ServerOf(read->mLink) == "s1");
+}
+
+TEST_CASE("Idle connections to a server that has hardly any left are closed",
+          "[Routing]")
+{
+  GatewayDriver driver;
+  const auto idle = [&driver] {
+    driver.OpenSession(1, "main");
+    driver.Send(1, StatementKind::Read);
+    driver.Reply(*driver.NextStatement());
+    driver.Run(60ms);
+    return driver.mState.mBackends.at(IdOf<ServerId>("s1")).mLinks.size();
+  };
+  CHECK(idle() == 1);
+  driver.Server("s1").mConnections = 18;
+  driver.Run(500ms);
+  CHECK(idle() == 0);
+}
