Session: Do not acknowledge a write of a term that has ended

A server that was cut off answered a commit after another one had been promoted, and the host passed the answer on although it knew the new term; the new primary lacked the write.

Change: an answer to a write or commit whose position is of an earlier term than the group's leaves the outcome unknown. Test: A write of a term that has ended is not acknowledged (failed before).

Ruled out: that the promotion was early (both replicas were paused for 1.1 s); half of the cause was the stand-in, whose resumed replica took the replaced primary's log. It follows the newest term now. Replicas that are all paused or deaf make commits wait there, as on the platform.

--- a/Source/Session/Execution.cpp
+++ b/Source/Session/Execution.cpp
@@ -226,6 +226,18 @@
   CompleteStatement(aContext, aSession, aReply);
 }
 
+/// Whether a server acknowledges writes of a term that has ended meanwhile. The
+/// server that was promoted then may lack them.
+bool
+IsOfEndedTerm(const Context& aContext,
+              const Backend& aBackend,
+              const BackendReply& aReply)
+{
+  const Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
+  return group != nullptr && aReply.mPosition &&
+         aReply.mPosition->mTerm < group->mTerm;
+}
+
 /// Ends a statement whose server will not answer any more.
 void
 FailLostStatement(Context& aContext,
@@ -363,6 +375,12 @@
                      : aReply.mCode,
                    "the backend server refused the statement");
     }
+  } else if (aReply.mCode == ResultCode::Ok && MayCommitWrites(*session) &&
+             IsOfEndedTerm(aContext, backend, aReply)) {
+    FailLostStatement(aContext,
+                      *session,
+                      ResultCode::ConnectionLost,
+                      "another primary was promoted before the answer came");
   } else if (aReply.mCode == ResultCode::Ok) {
     RecordSuccess(aContext, *session, backend, aReply);
     CompleteStatement(aContext, *session, aReply);
--- a/Tests/Gateway/SessionTest.cpp
+++ b/Tests/Gateway/SessionTest.cpp
@@ -252,3 +252,20 @@
   driver.Publish(4);
   CHECK(driver.mState.mCatalogue.mRoutingVersion == 5);
 }
+
+TEST_CASE("A write of a term that has ended is not acknowledged", "[Session]")
+{
+  GatewayDriver driver;
+  driver.OpenSession(1, "main");
+  driver.Send(1, StatementKind::Write);
+  const auto write = driver.NextStatement();
+  REQUIRE(write);
+  // Another server has been promoted while the answer was on its way.
+  driver.Server("s2").mPrimary = true;
+  driver.Server("s2").mTerm = 2;
+  driver.Run(500ms);
+  driver.Reply(*write);
+  const auto answer = driver.Answer();
+  REQUIRE(answer);
+  CHECK(answer->mCode == ResultCode::ConnectionLost);
+}
--- a/Tests/Platform/Standin/GroupStandin.cpp
+++ b/Tests/Platform/Standin/GroupStandin.cpp
@@ -15,6 +15,9 @@
 
 const std::string kDone = "COMPLETE -\r\n";
 constexpr int kBacklog = 64;
+constexpr double kTimerMs = 20.0;
+/// A server that was replaced follows its successor after this time.
+constexpr std::chrono::seconds kFollowDelay{ 1 };
 
 std::string
 Error(const std::string& aWord)
@@ -29,6 +32,9 @@
                            const std::vector<Address>& aAddresses)
   : mName(std::move(aName))
 {
+  mTimer.setSelector(aLoop);
+  cxxtools::connect(mTimer.timeout, *this, &GroupStandin::OnTimer);
+  mTimer.start(cxxtools::Milliseconds(kTimerMs));
   for (std::size_t n = 0; n < aAddresses.size(); ++n) {
     mServers.push_back(std::make_unique<Server>(
       *this, aLoop, "i-" + mName + std::to_string(n), aAddresses[n]));
@@ -49,11 +55,21 @@
     if (server->mName != aServer || server->mDown) {
       continue;
     }
-    if (!server->mPrimary) {
-      server->mPrimary = true;
-      ++server->mTerm;
-      server->mPausedBy = 0;
+    if (server->mPrimary) {
+      return true;
     }
+    std::uint64_t term = 0;
+    for (const auto& other : mServers) {
+      term = std::max(term, other->mTerm);
+      if (other->mPrimary) {
+        other->mDeposedAt = std::chrono::steady_clock::now();
+      }
+    }
+    server->mPrimary = true;
+    server->mDeposedAt.reset();
+    server->mTerm = term + 1;
+    server->mPausedBy = 0;
+    Advance();
     return true;
   }
   return false;
@@ -64,32 +80,116 @@
 {
   Server& server = *mServers[aServer];
   server.mDown = true;
-  server.mListener.close();
+  server.mListener.reset();
   for (const auto& connection : server.mConnections) {
     connection->mLines->Socket().Close();
+    connection->mPending.clear();
+  }
+}
+
+void
+GroupStandin::Revive(std::size_t aServer)
+{
+  Server& server = *mServers[aServer];
+  if (!server.mDown) {
+    return;
+  }
+  server.mDown = false;
+  server.mPausedBy = 0;
+  const Server* const leader = Leader();
+  server.mPrimary = leader == nullptr || leader == &server;
+  server.Listen();
+  Advance();
+}
+
+void
+GroupStandin::SetDeaf(std::size_t aServer, bool aIsDeaf)
+{
+  mServers[aServer]->mDeaf = aIsDeaf;
+  Advance();
+}
+
+bool
+GroupStandin::IsPrimary(std::size_t aServer) const
+{
+  return mServers[aServer]->mPrimary;
+}
+
+const std::map<std::string, std::string>&
+GroupStandin::Data() const
+{
+  const Server* newest = mServers.front().get();
+  for (const auto& server : mServers) {
+    const bool leads = server->mPrimary && !newest->mPrimary;
+    if (leads || (server->mPrimary == newest->mPrimary &&
+                  server->mTerm > newest->mTerm)) {
+      newest = server.get();
+    }
+  }
+  return newest->mData;
+}
+
+GroupStandin::Server*
+GroupStandin::Leader()
+{
+  Server* leader = nullptr;
+  for (const auto& server : mServers) {
+    if (server->mPrimary &&
+        (leader == nullptr || server->mTerm > leader->mTerm)) {
+      leader = server.get();
+    }
   }
+  return leader;
 }
 
 bool
-GroupStandin::Replicate(
-  Server& aPrimary,
-  const std::vector<std::pair<std::string, std::string>>& aWrites)
+GroupStandin::Replicate(const Server& aPrimary)
 {
+  // Replicas follow the newest term only.
+  if (&aPrimary != Leader()) {
+    return false;
+  }
   bool received = false;
   for (const auto& server : mServers) {
-    if (server.get() == &aPrimary || server->mDown || server->mPausedBy != 0) {
+    if (server.get() == &aPrimary || server->mDown || server->mDeaf ||
+        server->mPrimary || server->mPausedBy != 0 ||
+        server->mTerm > aPrimary.mTerm) {
       continue;
     }
     received = true;
-    server->mTerm = aPrimary.mTerm;
-    server->mIndex = aPrimary.mIndex;
-    for (const auto& [item, data] : aWrites) {
-      server->mData[item] = data;
+    if (server->mTerm != aPrimary.mTerm || server->mIndex != aPrimary.mIndex) {
+      server->mTerm = aPrimary.mTerm;
+      server->mIndex = aPrimary.mIndex;
+      server->mData = aPrimary.mData;
     }
   }
   return received;
 }
 
+void
+GroupStandin::Advance()
+{
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& server : mServers) {
+    if (server->mDeposedAt && now - *server->mDeposedAt > kFollowDelay) {
+      server->mPrimary = false;
+      server->mDeposedAt.reset();
+    }
+  }
+  for (const auto& server : mServers) {
+    if (!server->mPrimary || server->mDown || !Replicate(*server)) {
+      continue;
+    }
+    for (const auto& connection : server->mConnections) {
+      if (!connection->mPending.empty()) {
+        connection->mLines->Socket().Append(
+          std::exchange(connection->mPending, {}));
+        connection->mLines->Socket().Flush();
+      }
+    }
+  }
+}
+
 GroupStandin::Server::Server(GroupStandin& aGroup,
                              cxxtools::SelectorBase& aLoop,
                              std::string aName,
@@ -97,10 +197,31 @@
   : mGroup(aGroup)
   , mLoop(aLoop)
   , mName(std::move(aName))
-  , mListener(aAddress.mIp, aAddress.mPort, kBacklog)
+  , mAddress(aAddress)
 {
-  cxxtools::connect(mListener.connectionPending, *this, &Server::OnPending);
-  mListener.setSelector(mLoop);
+  Listen();
+}
+
+void
+GroupStandin::Server::Listen()
+{
+  mListener = std::make_unique<cxxtools::net::TcpServer>(
+    mAddress.mIp,
+    mAddress.mPort,
+    kBacklog,
+    cxxtools::net::TcpServer::REUSEADDR);
+  cxxtools::connect(mListener->connectionPending, *this, &Server::OnPending);
+  mListener->setSelector(mLoop);
+}
+
+bool
+GroupStandin::Server::HasPosition(std::string_view aPosition) const
+{
+  const std::string text(aPosition);
+  const std::size_t dot = text.find('.');
+  const std::uint64_t term = std::stoull(text.substr(0, dot));
+  const std::uint64_t index = std::stoull(text.substr(dot + 1));
+  return term <= mTerm && index <= mIndex;
 }
 
 void
@@ -142,9 +263,14 @@
 {
   const std::string id(TakeField(aFields));
   const std::string answer = Run(aConnection, id, aFields);
-  aConnection.mLines->Socket().Append(answer + "READY " +
-                                      std::string(1, aConnection.mState) + " " +
-                                      PositionText() + "\r\n");
+  const std::string whole = answer + "READY " +
+                            std::string(1, aConnection.mState) + " " +
+                            PositionText() + "\r\n";
+  if (aConnection.mPending.empty()) {
+    aConnection.mLines->Socket().Append(whole);
+  } else {
+    aConnection.mPending = whole;
+  }
 }
 
 std::string
@@ -154,7 +280,9 @@
 {
   WireMessage message = SplitMessage(aText);
   if (message.mWord == "AFTER") {
-    TakeField(message.mRest);
+    if (!HasPosition(TakeField(message.mRest))) {
+      return Error("LAGGING");
+    }
     message = SplitMessage(message.mRest);
   }
   if (message.mWord == "BEGIN") {
@@ -239,7 +367,9 @@
     mData[item] = data;
     ++mGroup.mEffects[item];
   }
-  mGroup.Replicate(*this, writes);
+  if (!mGroup.Replicate(*this)) {
+    aConnection.mPending = "waits";
+  }
   return "COMPLETE sig-" + aId + "\r\n";
 }
 
@@ -250,8 +380,15 @@
     mPausedBy = std::stoull(std::string(aRest));
   } else if (aWord == "RESUME") {
     mPausedBy = 0;
+    mGroup.Advance();
   } else if (aWord == "STEPDOWN") {
-    mPrimary = false;
+    if (std::stoull(std::string(aRest)) > mTerm) {
+      mPrimary = false;
+      mDeposedAt.reset();
+      for (const auto& connection : mConnections) {
+        connection->mWrites.clear();
+      }
+    }
   } else if (aWord != "STATUS") {
     return Error("MALFORMED");
   }
--- a/Tests/Platform/Standin/GroupStandin.h
+++ b/Tests/Platform/Standin/GroupStandin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -10,6 +11,7 @@
 
 #include <cxxtools/connectable.h>
 #include <cxxtools/net/tcpserver.h>
+#include <cxxtools/timer.h>
 
 #include "Model/Topology.h"
 #include "platform/LineConnection.h"
@@ -17,9 +19,9 @@
 namespace camphorstep::standin {
 
 /// A replicated group of backend servers that speak the platform's wire.
-/// Replicas receive and apply commits at once; a commit is acknowledged if a
-/// replica that is not paused has received it.
-class GroupStandin
+/// Replicas receive and apply commits at once; a commit is acknowledged once a
+/// replica has received it.
+class GroupStandin : public cxxtools::Connectable
 {
 public:
   GroupStandin(cxxtools::SelectorBase& aLoop,
@@ -34,6 +36,19 @@
   /// Ends a server and all its connections.
   void Kill(std::size_t aServer);
 
+  /// Starts a server that was ended, as a replica with its log if another was
+  /// promoted meanwhile.
+  void Revive(std::size_t aServer);
+
+  /// Has a replica receive nothing, or receive again.
+  void SetDeaf(std::size_t aServer, bool aIsDeaf);
+
+  std::size_t CountServers() const { return mServers.size(); }
+  bool IsPrimary(std::size_t aServer) const;
+
+  /// The data of the server that was promoted last.
+  const std::map<std::string, std::string>& Data() const;
+
   /// How often a write took effect, by item.
   std::map<std::string, int> mEffects;
   /// Statements that ran with other session values than they should have
@@ -52,6 +67,8 @@
     std::vector<std::pair<std::string, std::string>> mWrites;
     std::map<std::string, std::string> mValues;
     std::map<std::string, bool> mPrepared;
+    /// The answer to a commit that no replica has received yet.
+    std::string mPending;
   };
 
   /// A backend server.
@@ -63,6 +80,7 @@
            const Address& aAddress);
 
     void OnPending(cxxtools::net::TcpServer& aListener);
+    void Listen();
     void Handle(Connection& aConnection, std::string_view aLine);
     void HandleQuery(Connection& aConnection, std::string_view aFields);
     std::string Run(Connection& aConnection,
@@ -75,25 +93,39 @@
     std::string Control(std::string_view aWord, std::string_view aRest);
     std::string End(Connection& aConnection, bool aCommit, const std::string&);
     std::string PositionText() const;
+    /// Whether the log has a position that a statement names.
+    bool HasPosition(std::string_view aPosition) const;
 
     GroupStandin& mGroup;
     cxxtools::SelectorBase& mLoop;
     std::string mName;
-    cxxtools::net::TcpServer mListener;
+    Address mAddress;
+    std::unique_ptr<cxxtools::net::TcpServer> mListener;
     std::vector<std::unique_ptr<Connection>> mConnections;
     std::map<std::string, std::string> mData;
     bool mDown = false;
+    bool mDeaf = false;
     bool mPrimary = false;
+    /// When another server was promoted while this one led.
+    std::optional<std::chrono::steady_clock::time_point> mDeposedAt;
     std::uint64_t mTerm = 1;
     std::uint64_t mIndex = 0;
     std::uint64_t mPausedBy = 0;
   };
 
-  /// Gives a commit to the replicas; returns whether one has received it.
-  bool Replicate(
-    Server& aPrimary,
-    const std::vector<std::pair<std::string, std::string>>& aWrites);
+  /// The server of the highest term that leads, or nullptr.
+  Server* Leader();
+
+  /// Has all replicas that can receive take the leader's log. Returns whether
+  /// there is one that does.
+  bool Replicate(const Server& aPrimary);
+
+  /// Answers the commits that have been received by a replica now, and has
+  /// servers that were replaced a second ago follow.
+  void Advance();
+  void OnTimer() { Advance(); }
 
+  cxxtools::Timer mTimer;
   std::string mName;
   std::vector<std::unique_ptr<Server>> mServers;
 };
--- a/Tests/Platform/Standin/HttpStandin.cpp
+++ b/Tests/Platform/Standin/HttpStandin.cpp
@@ -1,5 +1,7 @@
 #include "HttpStandin.h"
 
+#include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace camphorstep::standin {
@@ -36,7 +38,28 @@
   return parameters;
 }
 
-/// Reads the request line.
+std::map<std::string, std::string>
+ReadHeaders(std::string_view aHeader)
+{
+  std::map<std::string, std::string> headers;
+  for (std::size_t at = aHeader.find("\r\n"); at != std::string_view::npos;
+       at = aHeader.find("\r\n", at + 1)) {
+    const std::string_view line =
+      aHeader.substr(at + 2, aHeader.find("\r\n", at + 2) - at - 2);
+    const std::size_t colon = line.find(": ");
+    if (colon == std::string_view::npos) {
+      continue;
+    }
+    std::string name(line.substr(0, colon));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+      return static_cast<char>(std::tolower(c));
+    });
+    headers[name] = line.substr(colon + 2);
+  }
+  return headers;
+}
+
+/// Reads the request line and the headers.
 HttpRequest
 ReadRequest(std::string_view aHeader)
 {
@@ -49,6 +72,7 @@
   if (mark != std::string_view::npos) {
     request.mParameters = ReadParameters(target.substr(mark + 1));
   }
+  request.mHeaders = ReadHeaders(aHeader);
   return request;
 }
 
--- a/Tests/Platform/Standin/HttpStandin.h
+++ b/Tests/Platform/Standin/HttpStandin.h
@@ -21,6 +21,8 @@
   std::uint64_t mClient = 0;
   std::string mPath;
   std::map<std::string, std::string> mParameters;
+  /// By name in lower case.
+  std::map<std::string, std::string> mHeaders;
   std::string mBody;
 };
 
--- a/Tests/Platform/Standin/SiteStandin.cpp
+++ b/Tests/Platform/Standin/SiteStandin.cpp
@@ -38,7 +38,8 @@
 
 }
 
-SiteStandin::SiteStandin(std::uint16_t aFirstPort)
+SiteStandin::SiteStandin(std::uint16_t aFirstPort,
+                         const std::vector<Address>& aServerAddresses)
   : mFirstPort(aFirstPort)
   , mStore(mLoop, At(0))
   , mPromotions(
@@ -52,7 +53,8 @@
              At(kFirstServerPort + 2) })
 {
   for (std::size_t n = 0; n < kServers; ++n) {
-    const Address address = At(kFirstServerPort + static_cast<int>(n));
+    const Address address =
+      aServerAddresses.empty() ? ServerAddress(n) : aServerAddresses.at(n);
     mStore.Put(
       "servers",
       mGroup.NameOf(n),
@@ -100,6 +102,12 @@
   Do([&] { mStore.Put("op", "config", text); });
 }
 
+Address
+SiteStandin::ServerAddress(std::size_t aServer) const
+{
+  return At(kFirstServerPort + static_cast<int>(aServer));
+}
+
 Address
 SiteStandin::At(int aOffset) const
 {
@@ -110,6 +118,9 @@
 SiteStandin::HandlePromotion(const HttpRequest& aRequest)
 {
   const auto order = platform::ParseJson(aRequest.mBody);
+  mOrders.emplace_back(
+    aRequest.mHeaders.at("camphorstep-lease-holder"),
+    std::stoull(aRequest.mHeaders.at("camphorstep-fencing-token")));
   const bool good = mGroup.Promote(*platform::TextOf(order, "Id"));
   mPromotions.Answer(aRequest.mClient, good ? kOk : kConflict, "{}");
 }
--- a/Tests/Platform/Standin/SiteStandin.h
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -19,8 +19,10 @@
 class SiteStandin : public cxxtools::Connectable
 {
 public:
-  /// Uses the ports from a first one on.
-  explicit SiteStandin(std::uint16_t aFirstPort);
+  /// Uses the ports from a first one on. The servers' entries name the given
+  /// addresses, or their own.
+  explicit SiteStandin(std::uint16_t aFirstPort,
+                       const std::vector<Address>& aServerAddresses = {});
   ~SiteStandin() override;
 
   SiteStandin(const SiteStandin&) = delete;
@@ -37,7 +39,17 @@
   void Publish(std::uint64_t aVersion,
                const std::vector<std::string>& aDatabases);
 
+  /// Where a server listens.
+  Address ServerAddress(std::size_t aServer) const;
+
   GroupStandin& Group() { return mGroup; }
+  StoreStandin& Store() { return mStore; }
+
+  /// Holders and fencing tokens of the orders to promote, in order.
+  const std::vector<std::pair<std::string, std::uint64_t>>& Orders() const
+  {
+    return mOrders;
+  }
 
 private:
   Address At(int aOffset) const;
@@ -49,6 +61,7 @@
   StoreStandin mStore;
   HttpStandin mPromotions;
   GroupStandin mGroup;
+  std::vector<std::pair<std::string, std::uint64_t>> mOrders;
   std::mutex mMutex;
   std::vector<std::function<void()>> mActions;
   std::thread mThread;
--- a/Tests/Platform/Standin/StoreStandin.cpp
+++ b/Tests/Platform/Standin/StoreStandin.cpp
@@ -12,6 +12,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kConditionFailed = 412;
+constexpr unsigned kUnavailable = 503;
 
 std::string
 Parameter(const HttpRequest& aRequest, const std::string& aName)
@@ -62,6 +63,13 @@
 void
 StoreStandin::Handle(const HttpRequest& aRequest)
 {
+  if (mFault == StoreFault::Refuse) {
+    mHttp.Answer(aRequest.mClient, kUnavailable, "{}");
+    return;
+  }
+  if (mFault == StoreFault::Silent) {
+    return;
+  }
   const std::string table = Parameter(aRequest, "Table");
   if (aRequest.mPath == "/rows-get") {
     mHttp.Answer(aRequest.mClient, kOk, Rows(table, 0, false));
@@ -105,6 +113,10 @@
     PutEncoded(
       *platform::TextOf(drop, "Table"), *platform::TextOf(drop, "Key"), "");
   }
+  if (mFault == StoreFault::LoseAnswers) {
+    AnswerWatches();
+    return;
+  }
   mHttp.Answer(aRequest.mClient,
                kOk,
                "{\"Ver\":" + std::to_string(mVersion) +
--- a/Tests/Platform/Standin/StoreStandin.h
+++ b/Tests/Platform/Standin/StoreStandin.h
@@ -12,6 +12,18 @@
 
 namespace camphorstep::standin {
 
+/// What the store does to all calls.
+enum class StoreFault : std::uint8_t
+{
+  None,
+  /// Refuses them without doing anything.
+  Refuse,
+  /// Neither does nor answers anything.
+  Silent,
+  /// Does what it is asked and does not answer writes.
+  LoseAnswers,
+};
+
 /// The platform's store: rows in tables, conditional transactions and a feed
 /// of changes.
 class StoreStandin : public cxxtools::Connectable
@@ -24,6 +36,9 @@
            const std::string& aKey,
            const std::string& aValue);
 
+  /// What the store does from now on.
+  void SetFault(StoreFault aFault) { mFault = aFault; }
+
 private:
   using Clock = std::chrono::steady_clock;
 
@@ -60,6 +75,7 @@
   cxxtools::Timer mTimer;
   std::map<std::pair<std::string, std::string>, Row> mRows;
   std::uint64_t mVersion = 0;
+  StoreFault mFault = StoreFault::None;
   std::vector<Watch> mWatches;
 };
 
