Fleet: Have starting hosts ask others before they ask servers

Cause: after all hosts of the grown fleet had lost power, servers still held the dead hosts' connections for 3 s, and the few that were left went to control connections of 62 hosts that had not found a source yet; statements found no room until the dead ones were dropped (running 0, all_connections 49, too many refusals by the thousand).

Change: a host asks servers only when it knows the hosts and none of them answers; it looks for a source as soon as it knows them, not 250 ms later; a control connection that is not needed is closed after 100 ms, not 1 s.

--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -265,6 +265,10 @@
       break;
     case Table::Fleet:
       hasChanged |= ApplyHosts(aContext, aAnswer);
+      if (!HearsSource(aContext)) {
+        aContext.mState.mTimers.ArmSooner(
+          TimerKind::FollowSource, 0, aContext.mNow);
+      }
       break;
   }
   progress.mKnown = true;
--- a/Source/Fleet/Following.cpp
+++ b/Source/Fleet/Following.cpp
@@ -143,6 +143,11 @@
       TimerKind::FollowSource, 0, aContext.mNow + kLookInterval);
     return;
   }
+  const Instant due = following.mAskedAt + HoldFor(following) + kAnswerTime;
+  if (following.mWaits && aContext.mNow < due) {
+    aContext.mState.mTimers.Arm(TimerKind::FollowSource, 0, due);
+    return;
+  }
   if (following.mWaits) {
     NoteNoAnswer(aContext, "no answer in time");
     if (following.mSource.empty()) {
--- a/Source/Fleet/Sources.cpp
+++ b/Source/Fleet/Sources.cpp
@@ -92,6 +92,16 @@
          source->mDataCentre == state.mSelf.mEntry.mDataCentre;
 }
 
+bool
+IsLookingForSource(const Context& aContext)
+{
+  const State& state = aContext.mState;
+  const TableProgress& hosts =
+    state.mCatalogue.mTables.at(static_cast<std::size_t>(Table::Fleet));
+  return state.mFleet.mFollowing.mWaits ||
+         (!hosts.mKnown && hosts.mFailures == 0);
+}
+
 void
 SuspectSource(Context& aContext, const std::string& aReason)
 {
--- a/Source/Fleet/Sources.h
+++ b/Source/Fleet/Sources.h
@@ -23,6 +23,10 @@
 /// leaves the store, the servers and the promoter's lease to others.
 bool IsFollower(const Context& aContext);
 
+/// Whether this host is about to learn whom it may ask, or waits for the first
+/// answer of one.
+bool IsLookingForSource(const Context& aContext);
+
 /// Passes a source over for some time, longer each time in a row.
 void SuspectSource(Context& aContext, const std::string& aReason);
 
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -46,7 +46,7 @@
 constexpr Duration kOpenTimeout = 1'000ms;
 /// A connection for status requests that is not needed is closed after this
 /// time.
-constexpr Duration kIdleControlTime = 1s;
+constexpr Duration kIdleControlTime = 100ms;
 /// An idle connection is closed after this time.
 constexpr Duration kIdleLinkTime = 4s;
 /// The same at a server whose connections are scarce, and at one that has
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -167,8 +167,8 @@
   if (!aGroup.mUnprovenSince) {
     aGroup.mUnprovenSince = aContext.mNow;
   }
-  const Following& following = aContext.mState.mFleet.mFollowing;
-  const bool isLeftToOthers = IsFollower(aContext) || following.mWaits;
+  const bool isLeftToOthers =
+    IsFollower(aContext) || IsLookingForSource(aContext);
   return !isLeftToOthers ||
          aContext.mNow - *aGroup.mUnprovenSince > kFollowerPatience;
 }
@@ -178,7 +178,13 @@
 Instant
 NextSample(Context& aContext, const Group& aGroup)
 {
-  if (!IsCalm(aContext, aGroup)) {
+  const bool hasControl = std::any_of(
+    aGroup.mServers.begin(), aGroup.mServers.end(), [&](ServerId aId) {
+      const Backend* const backend = Find(aContext.mState.mBackends, aId);
+      return backend != nullptr && backend->mControlLink;
+    });
+  const bool closesSoon = hasControl && !HoldsPromoterLease(aContext);
+  if (!IsCalm(aContext, aGroup) || closesSoon) {
     return aContext.mNow + kUrgentSampleInterval;
   }
   if (HoldsPromoterLease(aContext)) {
--- a/Tests/Gateway/FollowingTest.cpp
+++ b/Tests/Gateway/FollowingTest.cpp
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <utility>
+
 #include "Fleet/Sources.h"
 #include "Follower.h"
 #include "Gateway/Context.h"
@@ -284,3 +287,45 @@
   }
   CHECK(queries >= 10);
 }
+
+TEST_CASE("A host that has just learnt of others asks them first",
+          "[Following]")
+{
+  Follower driver;
+  driver.mState.mBackends.clear();
+  driver.mState.mLinks.clear();
+  driver.mState.mGroups.begin()->second.mServers.clear();
+  driver.mState.mGroups.begin()->second.mPrimary = ServerId{};
+  driver.mState.mCatalogue.mTables.at(1) = TableProgress{};
+  driver.mState.mCatalogue.mTables.at(2) = TableProgress{};
+  const std::map<std::string, HostEntry> hosts =
+    std::exchange(driver.mState.mCatalogue.mHosts, {});
+  driver.mState.mFleet.mFollowing = {};
+  driver.mEffects.clear();
+  driver.ListServers();
+  CHECK_FALSE(driver.Take<OpenLink>());
+  driver.Pass(20ms);
+  CHECK_FALSE(driver.Take<OpenLink>());
+  TableAnswer answer;
+  answer.mCall = driver.mState.mCatalogue.mTables.at(2).mCall;
+  answer.mTable = Table::Fleet;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mWhole = true;
+  answer.mVersion = ++driver.mStoreVersion;
+  for (const auto& [name, host] : hosts) {
+    answer.mHosts.push_back({ name, host });
+  }
+  driver.Deliver(answer);
+  CHECK(driver.Take<AskPeer>());
+  CHECK_FALSE(driver.Take<OpenLink>());
+}
+
+TEST_CASE("Control connections that are not needed are closed soon",
+          "[Following]")
+{
+  Follower driver;
+  driver.Follow(1s);
+  for (const auto& [id, backend] : driver.mState.mBackends) {
+    CHECK_FALSE(backend.mControlLink);
+  }
+}
