Group: Do not take servers for silent while the host stood still

Change: a host notes when it has had no event for 500 ms, and silence counts from its waking. Test: A promoter that stood still does not take the primary for silent (failed before).

--- a/Source/Backend/Links.cpp
+++ b/Source/Backend/Links.cpp
@@ -6,6 +6,7 @@
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
 #include "Session/Execution.h"
+#include "Session/Outcomes.h"
 
 namespace camphorstep::gateway {
 
--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -7,6 +7,7 @@
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
 #include "Session/Execution.h"
+#include "Session/Outcomes.h"
 
 namespace camphorstep::gateway {
 
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -42,6 +42,9 @@
   Identity mSelf;
   Timers mTimers;
   std::uint64_t mLastId = 0;
+  /// When the last event came, and since when the host has not stood still.
+  Instant mLastEventAt;
+  Instant mAwakeSince;
   bool mReady = false;
   Stop mStop;
 
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -8,10 +8,12 @@
 #include "Fleet/Reports.h"
 #include "Gateway/Context.h"
 #include "Gateway/Stopping.h"
+#include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
 #include "Group/Promoter.h"
 #include "Group/Takeover.h"
 #include "Session/Execution.h"
+#include "Session/Outcomes.h"
 #include "Session/Sessions.h"
 
 namespace camphorstep::gateway {
@@ -122,6 +124,23 @@
   }
 }
 
+/// Notes when the host has stood still: its timers are due more often than
+/// that.
+void
+NoteTime(Context& aContext)
+{
+  State& state = aContext.mState;
+  const Duration gap = aContext.mNow - state.mLastEventAt;
+  if (gap > kStandstill) {
+    state.mAwakeSince = aContext.mNow;
+    Log(aContext,
+        LogSeverity::Info,
+        "this host has stood still",
+        { { "for_ms", Milliseconds(gap) } });
+  }
+  state.mLastEventAt = aContext.mNow;
+}
+
 }
 
 void
@@ -130,6 +149,8 @@
   for (std::size_t n = 0; n < kTableCount; ++n) {
     aState.mTimers.Arm(TimerKind::PollTable, n, aNow);
   }
+  aState.mLastEventAt = aNow;
+  aState.mAwakeSince = aNow;
   aState.mTimers.Arm(TimerKind::RegisterHost, 0, aNow);
   aState.mTimers.Arm(TimerKind::PromoterLease, 0, aNow);
   aState.mTimers.Arm(TimerKind::FollowSource, 0, aNow);
@@ -140,6 +161,7 @@
 {
   std::vector<Effect> effects;
   Context context{ aState, aEvent.mNow, effects };
+  NoteTime(context);
   std::visit(EventHandler{ context }, aEvent.mBody);
   while (const auto timer = aState.mTimers.TakeDue(aEvent.mNow)) {
     HandleTimer(context, timer->first, timer->second);
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -90,6 +90,9 @@
 /// How long before its end the holder stops using the lease.
 constexpr Duration kPromoterLeaseMargin = 700ms;
 
+/// A host without any event for this time has stood still: no timer of its own
+/// is further away.
+constexpr Duration kStandstill = 500ms;
 /// A primary is replaced after no host has heard it for this long.
 constexpr Duration kPrimarySilence = 700ms;
 /// Writes that reach no replica for this long have the primary replaced.
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -34,7 +34,10 @@
 bool
 IsDown(const Context& aContext, const Backend& aBackend)
 {
-  return aContext.mNow - aBackend.mHeardAt > kPrimarySilence ||
+  // While this host stood still it could not hear anybody.
+  const Instant listening =
+    std::max(aBackend.mHeardAt, aContext.mState.mAwakeSince);
+  return aContext.mNow - listening > kPrimarySilence ||
          (aBackend.mRefusals >= kRefusalsOfDeadServer &&
           !aBackend.mControlLink);
 }
--- a/Source/Session/Transactions.cpp
+++ b/Source/Session/Transactions.cpp
@@ -6,6 +6,12 @@
 
 namespace camphorstep::gateway {
 
+bool
+InTransaction(const Session& aSession)
+{
+  return aSession.mTransaction.mState == TransactionState::Open;
+}
+
 void
 BeginTransaction(Context& aContext, Session& aSession, bool aReadOnly)
 {
--- a/Source/Session/Transactions.h
+++ b/Source/Session/Transactions.h
@@ -4,6 +4,9 @@
 
 namespace camphorstep::gateway {
 
+/// Whether a transaction is open and has not failed.
+bool InTransaction(const Session& aSession);
+
 /// Opens a transaction in the session; the server learns of it with the
 /// first statement.
 void BeginTransaction(Context& aContext, Session& aSession, bool aReadOnly);
--- a/Source/Settings/GatewaySettings.cpp
+++ b/Source/Settings/GatewaySettings.cpp
@@ -14,18 +14,6 @@
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1'000.0;
 
-Address
-RequireAddress(IniReader& aReader, std::string_view aKey)
-{
-  const std::string text = aReader.Require(aKey);
-  Address address;
-  if (!ParseAddress(text, address)) {
-    aReader.Fail(*aReader.Section().Find(aKey),
-                 "is not an IP address and port");
-  }
-  return address;
-}
-
 void
 ReadSection(const IniFile& aFile,
             const IniSection& aSection,
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -82,19 +82,6 @@
   return aSection.mName.substr(aSection.mName.find('.') + 1);
 }
 
-Address
-RequireAddress(const IniSection& aSection,
-               IniReader& aReader,
-               std::string_view aKey)
-{
-  const std::string text = aReader.Require(aKey);
-  Address address;
-  if (!ParseAddress(text, address)) {
-    aReader.Fail(*aSection.Find(aKey), "is not an IP address and port");
-  }
-  return address;
-}
-
 void
 ReadHost(const IniFile& aFile, Settings& aSettings)
 {
@@ -114,10 +101,10 @@
 {
   const IniSection& section = RequireSection(aFile, "listen");
   IniReader reader(aFile, section);
-  aSettings.mCallerAddress = RequireAddress(section, reader, "callers");
-  aSettings.mOperatorAddress = RequireAddress(section, reader, "operators");
-  aSettings.mPeerAddress = RequireAddress(section, reader, "peers");
-  aSettings.mMetricsAddress = RequireAddress(section, reader, "metrics");
+  aSettings.mCallerAddress = RequireAddress(reader, "callers");
+  aSettings.mOperatorAddress = RequireAddress(reader, "operators");
+  aSettings.mPeerAddress = RequireAddress(reader, "peers");
+  aSettings.mMetricsAddress = RequireAddress(reader, "metrics");
   FinishReading(reader);
 }
 
@@ -172,7 +159,7 @@
     return;
   }
   IniReader reader(aFile, *section);
-  aSettings.mPlatformAddress = RequireAddress(*section, reader, "address");
+  aSettings.mPlatformAddress = RequireAddress(reader, "address");
   FinishReading(reader);
 }
 
@@ -219,7 +206,7 @@
     Host host;
     host.mName = NameAfter(*section);
     host.mId = IdOf<HostId>(host.mName);
-    host.mPeerAddress = RequireAddress(*section, reader, "address");
+    host.mPeerAddress = RequireAddress(reader, "address");
     host.mPlace = RequirePlace(
       aFile, *section, aDataCentres, reader.Require("data_centre"));
     FinishReading(reader);
@@ -253,7 +240,7 @@
     Server server;
     server.mName = NameAfter(*section);
     server.mId = IdOf<ServerId>(server.mName);
-    server.mAddress = RequireAddress(*section, reader, "address");
+    server.mAddress = RequireAddress(reader, "address");
     server.mPlace = RequirePlace(
       aFile, *section, aDataCentres, reader.Require("data_centre"));
     reader.Read("max_connections", server.mMaxConnections, 4, 10'000);
@@ -321,6 +308,18 @@
 
 }
 
+Address
+RequireAddress(IniReader& aReader, std::string_view aKey)
+{
+  const std::string text = aReader.Require(aKey);
+  Address address;
+  if (!ParseAddress(text, address)) {
+    aReader.Fail(*aReader.Section().Find(aKey),
+                 "is not an IP address and port");
+  }
+  return address;
+}
+
 bool
 ParseAddress(const std::string& aText, Address& aAddress)
 {
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "Common/IniFile.h"
@@ -10,6 +11,8 @@
 
 namespace camphorstep {
 
+class IniReader;
+
 /// The settings of one proxy process, read from an INI file at start. All
 /// defaults stand here; docs/SETTINGS.md describes each key.
 struct Settings
@@ -58,6 +61,9 @@
 /// keys and references to things that are not there.
 Settings ParseSettings(const IniFile& aFile);
 
+/// Reads an IP address and port that must be present.
+Address RequireAddress(IniReader& aReader, std::string_view aKey);
+
 /// Reads "IP:PORT".
 bool ParseAddress(const std::string& aText, Address& aAddress);
 
--- /dev/null
+++ b/Tests/Gateway/PeerMessageTest.cpp
@@ -0,0 +1,87 @@
+#include <catch2/catch.hpp>
+
+#include <limits>
+#include <string>
+
+#include "Gateway/PeerMessage.h"
+#include "Wire/Codec.h"
+
+using namespace camphorstep;
+using namespace camphorstep::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+NewsReport
+MakeReport()
+{
+  NewsReport report;
+  report.mNumber = 300;
+  report.mHeld = 250ms;
+  report.mSequence = std::numeric_limits<std::uint64_t>::max();
+  report.mIsPromoter = true;
+  ServerReport server;
+  server.mServer = IdOf<ServerId>("s1");
+  server.mStatus = { true, 7, { 7, 90'000 }, 3, 60ms, 5, 49 };
+  server.mApplied = { 7, 89'999 };
+  server.mAge = 123'456us;
+  report.mServers = { server };
+  TableNews news;
+  news.mTable = Table::Servers;
+  news.mVersion = 128;
+  news.mAge = 1s;
+  news.mContent.emplace();
+  news.mContent->mServers = {
+    { "s1", "group", { "10.0.0.1", 5 }, "a", 6, true, true, 77 }
+  };
+  news.mContent->mHosts = { { "h1", { "10.0.0.2", 6 }, "b", 9, 500 } };
+  report.mTables = { news };
+  report.mLease = LeaseNews{ { "h1", 9, 4, 99 }, 5s, 6s };
+  return report;
+}
+
+}
+
+TEST_CASE("Messages between hosts come out as they went in", "[PeerMessage]")
+{
+  const NewsReport sent = MakeReport();
+  const auto message = Decode<PeerMessage>(Encode(PeerMessage(sent)));
+  const auto* const got = std::get_if<NewsReport>(&message);
+  REQUIRE(got != nullptr);
+  CHECK(got->mNumber == sent.mNumber);
+  CHECK(got->mHeld == sent.mHeld);
+  CHECK(got->mSequence == sent.mSequence);
+  CHECK(got->mIsPromoter);
+  REQUIRE(got->mServers.size() == 1);
+  CHECK(got->mServers[0].mStatus.mPrimary);
+  CHECK(got->mServers[0].mStatus.mReceived == Position{ 7, 90'000 });
+  CHECK(got->mServers[0].mStatus.mPausedBy == 3);
+  CHECK(got->mServers[0].mStatus.mConnections == 49);
+  CHECK(got->mServers[0].mApplied == Position{ 7, 89'999 });
+  CHECK(got->mServers[0].mAge == 123'456us);
+  REQUIRE(got->mTables.size() == 1);
+  CHECK(got->mTables[0].mTable == Table::Servers);
+  CHECK(got->mTables[0].mAge == 1s);
+  CHECK(got->mTables[0].mContent->mServers ==
+        sent.mTables[0].mContent->mServers);
+  CHECK(got->mTables[0].mContent->mHosts == sent.mTables[0].mContent->mHosts);
+  CHECK(got->mLease->mLease.mToken == 4);
+  CHECK(got->mLease->mStoreTime == 6s);
+}
+
+TEST_CASE("Messages between hosts that are cut off are refused",
+          "[PeerMessage]")
+{
+  const std::string bytes = Encode(PeerMessage(MakeReport()));
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    CHECK_THROWS_AS(Decode<PeerMessage>(bytes.substr(0, n)), DecodeError);
+  }
+}
+
+TEST_CASE("A packed number without an end is refused", "[PeerMessage]")
+{
+  // The kind of message, then the first number of a query.
+  std::string bytes(4, '\0');
+  bytes += std::string(64, '\xff');
+  CHECK_THROWS_AS(Decode<PeerMessage>(bytes), DecodeError);
+}
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -198,3 +198,19 @@
   CHECK(driver.mState.mPromoter.mLease.mHolder == "h1");
   CHECK(driver.mState.mPromoter.mLease.mToken == 6);
 }
+
+TEST_CASE("A promoter that stood still does not take the primary for silent",
+          "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Run(500ms);
+  driver.mNow += 1500ms;
+  CHECK_FALSE(RunToPromotion(driver, 4s));
+  CHECK(driver.Server("s1").mPrimary);
+  SECTION("but finds out that it is")
+  {
+    driver.Server("s1").mDown = true;
+    driver.mNow += 1500ms;
+    CHECK(RunToPromotion(driver, 4s));
+  }
+}
--- a/Tests/Platform/RowsTest.cpp
+++ b/Tests/Platform/RowsTest.cpp
@@ -79,7 +79,7 @@
 TEST_CASE("Entries of the fleet survive the way through the store", "[Rows]")
 {
   const std::string host =
-    WriteHostTransaction({ "h1", { "10.0.0.1", 7440 }, "z", 42 });
+    WriteHostTransaction({ "h1", { "10.0.0.1", 7440 }, "z", 42, 250 });
   const auto info = ParseJson(host);
   const auto& put = info.getMember("Puts").getMember(0);
   CHECK(TextOf(put, "Key") == "host/h1");
@@ -89,6 +89,7 @@
   REQUIRE(answer.mHosts.size() == 1);
   REQUIRE(answer.mHosts[0].mEntry);
   CHECK(answer.mHosts[0].mEntry->mIncarnation == 42);
+  CHECK(answer.mHosts[0].mEntry->mProcessorShare == 250);
   const std::string lease = WriteLeaseTransaction({ "h1", 42, 3, 11 });
   const auto transaction = ParseJson(lease);
   const auto& condition = transaction.getMember("Precondition").getMember(0);
@@ -127,3 +128,31 @@
   CHECK(ReadBase64(WriteBase64("abc")) == "abc");
   CHECK_FALSE(ReadBase64("***"));
 }
+
+TEST_CASE("A page of rows tells where the next one begins", "[Rows]")
+{
+  TableAnswer answer;
+  answer.mTable = Table::Servers;
+  ReadRows(R"({"rows":[{"Key":"i-1","Ver":1},{"Key":"i-2","Ver":2}],)"
+           R"("MorePages":true,"Ver":9,"NowMs":5})",
+           answer);
+  CHECK(answer.mMoreFrom == "i-2");
+  TableAnswer last;
+  last.mTable = Table::Servers;
+  ReadRows(R"({"rows":[{"Key":"i-3","Ver":1}],"MorePages":false,"Ver":9,)"
+           R"("NowMs":5})",
+           last);
+  CHECK(last.mMoreFrom.empty());
+}
+
+TEST_CASE("A write whose answer cannot be read is of unknown outcome", "[Rows]")
+{
+  StoreWritten written;
+  written.mOutcome = CallOutcome::Ok;
+  ReadReceipt(R"({"Ver":12,"NowMs":700})", written);
+  CHECK(written.mOutcome == CallOutcome::Ok);
+  CHECK(written.mVersion == 12);
+  CHECK(written.mStoreTime == std::chrono::milliseconds(700));
+  ReadReceipt("{}", written);
+  CHECK(written.mOutcome == CallOutcome::Unknown);
+}
--- a/Tests/Platform/Standin/GroupStandin.cpp
+++ b/Tests/Platform/Standin/GroupStandin.cpp
@@ -96,8 +96,7 @@
   }
   server.mDown = false;
   server.mPausedBy = 0;
-  const Server* const leader = Leader();
-  server.mPrimary = leader == nullptr || leader == &server;
+  server.mPrimary = Leader() == &server;
   server.Listen();
   Advance();
 }
@@ -285,6 +284,9 @@
     }
     message = SplitMessage(message.mRest);
   }
+  if (aConnection.mIsLost) {
+    return FailLost(aConnection, message.mWord);
+  }
   if (message.mWord == "BEGIN") {
     if (message.mRest.empty() && !mPrimary) {
       return Error("READONLY");
@@ -323,6 +325,15 @@
   return Control(message.mWord, message.mRest);
 }
 
+std::string
+GroupStandin::Server::FailLost(Connection& aConnection, std::string_view aWord)
+{
+  const bool ends = aWord == "COMMIT" || aWord == "ROLLBACK";
+  aConnection.mState = ends ? 'I' : 'E';
+  aConnection.mIsLost = !ends;
+  return aWord == "ROLLBACK" ? kDone : Error("READONLY");
+}
+
 std::string
 GroupStandin::Server::RunStatement(Connection& aConnection,
                                    const std::string& aId,
@@ -386,6 +397,7 @@
       mPrimary = false;
       mDeposedAt.reset();
       for (const auto& connection : mConnections) {
+        connection->mIsLost = !connection->mWrites.empty();
         connection->mWrites.clear();
       }
     }
--- a/Tests/Platform/Standin/GroupStandin.h
+++ b/Tests/Platform/Standin/GroupStandin.h
@@ -69,6 +69,8 @@
     std::map<std::string, bool> mPrepared;
     /// The answer to a commit that no replica has received yet.
     std::string mPending;
+    /// Whether its transaction wrote, and its server has lost the lead.
+    bool mIsLost = false;
   };
 
   /// A backend server.
@@ -90,6 +92,8 @@
                              const std::string& aId,
                              bool aWrites,
                              std::string_view aArguments);
+    /// Answers a statement of a transaction that is lost.
+    std::string FailLost(Connection& aConnection, std::string_view aWord);
     std::string Control(std::string_view aWord, std::string_view aRest);
     std::string End(Connection& aConnection, bool aCommit, const std::string&);
     std::string PositionText() const;
