--- a/Tests/Platform/Standin/HttpStandin.cpp
+++ b/Tests/Platform/Standin/HttpStandin.cpp
@@ -51,9 +51,10 @@
       continue;
     }
     std::string name(line.substr(0, colon));
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
-      return static_cast<char>(std::tolower(c));
-    });
+    std::transform(
+      name.begin(), name.end(), name.begin(), [](unsigned char aChar) {
+        return static_cast<char>(std::tolower(aChar));
+      });
     headers[name] = line.substr(colon + 2);
   }
   return headers;
--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -59,7 +59,7 @@
 
   Reply Query(const std::string& aId, const std::string& aText)
   {
-    const Reply reply = Exchange("QUERY " + aId + " " + aText);
+    Reply reply = Exchange("QUERY " + aId + " " + aText);
     mIsOpen = reply.mIsWhole;
     return reply;
   }
@@ -181,12 +181,19 @@
     }
   }
 
+  static std::string WriteText(const std::string& aItem)
+  {
+    std::string text = "WRITE ";
+    text.append(aItem).append(" ").append(aItem);
+    return text;
+  }
+
   void Write()
   {
     const std::string item = NextItem();
     const std::string id = NextId();
     const std::uint64_t attempt = mLedger.Begin({ item });
-    const Reply reply = mSession->Query(id, "WRITE " + item + " " + item);
+    const Reply reply = mSession->Query(id, WriteText(item));
     mLedger.Settle(attempt, FateOf(reply));
     Check(reply, id);
   }
@@ -200,8 +207,7 @@
     std::vector<std::string> items{ NextItem(), NextItem() };
     const std::uint64_t attempt = mLedger.Begin(items);
     for (const std::string& item : items) {
-      const Reply reply =
-        mSession->Query(NextId(), "WRITE " + item + " " + item);
+      const Reply reply = mSession->Query(NextId(), WriteText(item));
       if (!reply.mIsDone) {
         Check(reply, "");
         // Without its commit nothing of a transaction is kept, whatever the
