Backend: Keep statements as long as a server can still serve them

A statement that had not been started after 24 % of its route's target was refused, also while its server was working off a short burst, and callers spent their retries within the burst. Now it waits until its latest start: the deadline less two response times of the server. One that has so many statements ahead that it certainly cannot be started by then is refused on arrival.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Backend/Admission.h"
 #include "Common/Time.h"
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
@@ -87,6 +88,7 @@
   /// Statements of this host that the server is running.
   std::uint32_t mRunning = 0;
   std::map<QueuePlace, SessionId> mQueue;
+  ServerPace mPace;
 };
 
 }
--- a/Source/Backend/Links.cpp
+++ b/Source/Backend/Links.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Backend/Admission.h"
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
@@ -156,6 +157,7 @@
       break;
     case ExchangeKind::Statement:
       --backend.mRunning;
+      RecordResponse(backend.mPace, aContext.mNow - exchange.mSentAt);
       HandleStatementReply(aContext, *link, aEvent.mReply);
       break;
     case ExchangeKind::Rollback:
--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -1,9 +1,11 @@
 #include "Backend/Pool.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
+#include "Backend/Admission.h"
 #include "Backend/Preparation.h"
 #include "Gateway/Tuning.h"
 #include "Session/Execution.h"
@@ -187,7 +189,13 @@
   ActiveStatement& active = *aSession.mActive;
   active.mStage = StatementStage::Queued;
   active.mServer = aBackend.mId;
+  active.mQueueDeadline =
+    LatestStart(aBackend.mPace, active.mArrivedAt, active.mDeadline);
   aBackend.mQueue.emplace(active.mPlace, aSession.mId);
+  if (active.mAttempts == 0) {
+    aContext.mState.mTimers.ArmSooner(
+      TimerKind::Statement, aSession.mId.mValue, active.mQueueDeadline);
+  }
   DispatchQueue(aContext, aBackend);
 }
 
@@ -204,6 +212,23 @@
   }
 }
 
+bool
+IsWaitHopeless(const Context& aContext, const Session& aSession)
+{
+  const ActiveStatement& active = *aSession.mActive;
+  const Backend* const backend =
+    Find(aContext.mState.mBackends, active.mServer);
+  if (active.mStage != StatementStage::Queued || backend == nullptr) {
+    return false;
+  }
+  const auto ahead =
+    std::distance(backend->mQueue.begin(), backend->mQueue.find(active.mPlace));
+  return IsWaitHopeless(backend->mPace,
+                        static_cast<std::size_t>(ahead),
+                        aContext.mNow,
+                        active.mQueueDeadline);
+}
+
 void
 DispatchQueue(Context& aContext, Backend& aBackend)
 {
@@ -224,6 +249,7 @@
       return;
     }
     aBackend.mQueue.erase(it);
+    RecordStart(aBackend.mPace, aContext.mNow, !aBackend.mQueue.empty());
     StartOnLink(aContext, *session, *link);
   }
 }
--- a/Source/Backend/Pool.h
+++ b/Source/Backend/Pool.h
@@ -12,6 +12,10 @@
 /// Takes a session's statement out of the queue that it waits in, if any.
 void LeaveQueue(Context& aContext, Session& aSession);
 
+/// Whether a session's statement waits in a server's queue and certainly cannot
+/// be started in time.
+bool IsWaitHopeless(const Context& aContext, const Session& aSession);
+
 /// Starts what waits at a server as far as connections and limits allow.
 void DispatchQueue(Context& aContext, Backend& aBackend);
 
--- a/Source/Session/SessionState.h
+++ b/Source/Session/SessionState.h
@@ -56,7 +56,8 @@
   Instant mArrivedAt;
   /// When it was last sent to a server.
   Instant mSentAt;
-  /// Until when it may wait in a queue before the first attempt.
+  /// Until when it may wait in a queue for its first attempt, so that its
+  /// answer can arrive before the deadline.
   Instant mQueueDeadline;
   Instant mDeadline;
   /// How often the statement, or the begin of its transaction, was sent to a
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-/// The percentage of the route's target response time after which a statement
-/// that is still queued for its first attempt is refused, so that the caller
-/// can retry early.
-constexpr int kQueueTimeoutPercent = 24;
 /// The most statements that a caller may send before the answer to an earlier
 /// one. Normal use of the protocol needs only a few.
 constexpr std::size_t kMaxPipeline = 64;
@@ -138,15 +134,20 @@
   active.mStatement = aStatement;
   active.mArrivedAt = aContext.mNow;
   active.mDeadline = aContext.mNow + route->mStatementTimeout;
-  active.mQueueDeadline =
-    aContext.mNow + route->mTarget * kQueueTimeoutPercent / 100;
+  active.mQueueDeadline = active.mDeadline;
   active.mPlace = { route->mUrgency, ++aContext.mState.mLastId };
   aSession.mActive = std::move(active);
   aContext.mState.mTimers.Arm(
-    TimerKind::Statement,
-    aSession.mId.mValue,
-    std::min(aSession.mActive->mQueueDeadline, aSession.mActive->mDeadline));
+    TimerKind::Statement, aSession.mId.mValue, aSession.mActive->mDeadline);
   RunActiveStatement(aContext, aSession);
+  if (aSession.mActive && IsWaitHopeless(aContext, aSession)) {
+    LeaveQueue(aContext, aSession);
+    FailTransaction(aContext, aSession);
+    FailStatement(aContext,
+                  aSession,
+                  ResultCode::Overloaded,
+                  "too many statements are waiting for the backend server");
+  }
 }
 
 void
