--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -36,7 +36,7 @@
 constexpr Duration kStatusTimeout = 400ms;
 /// The most samples of the primary's log position that are kept for reads with
 /// bounded staleness.
-constexpr std::size_t kMaxSamples = 32;
+constexpr std::size_t kMaxSamples = 48;
 /// Deducted from a read's greatest age, for the delay on the way to the server.
 constexpr Duration kAgeMargin = 60ms;
 /// A replica that had not applied a required position is not expected to have
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -109,19 +109,23 @@
   aGroup.mMaxReplicaIndex = maxReplicaIndex;
 }
 
-/// Routes the statements that wait for a confirmed primary once there is one.
+/// Routes the statements that wait for a server once there may be one: a
+/// confirmed primary, or for reads a replica that has caught up.
 void
 RerouteWaitingStatements(Context& aContext, Group& aGroup)
 {
-  if (aGroup.mHeld.empty() || ConfirmedPrimary(aContext, aGroup) == nullptr) {
-    return;
-  }
+  const bool hasPrimary = ConfirmedPrimary(aContext, aGroup) != nullptr;
   const std::set<SessionId> held = std::exchange(aGroup.mHeld, {});
   for (const SessionId id : held) {
     Session* const session = Find(aContext.mState.mSessions, id);
-    if (session != nullptr && session->mActive &&
-        session->mActive->mStage == StatementStage::AwaitingServer) {
+    if (session == nullptr || !session->mActive ||
+        session->mActive->mStage != StatementStage::AwaitingServer) {
+      continue;
+    }
+    if (hasPrimary || !NeedsPrimary(aContext, *session)) {
       RouteStatement(aContext, *session);
+    } else {
+      aGroup.mHeld.insert(id);
     }
   }
 }
@@ -346,6 +350,9 @@
   }
   TrackReplication(aContext, *group);
   RerouteWaitingStatements(aContext, *group);
+  if (group->mPrimary != aBackend.mId) {
+    RerouteQueuedReads(aContext, *group);
+  }
   AdvanceTakeover(aContext, *group);
 }
 
--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -63,7 +63,11 @@
   }
   const Duration lag =
     aBackend.mStatus ? aBackend.mStatus->mLag : Duration{ 0 };
-  return aContext.mNow - aRequired.mSince > lag + kApplyMargin;
+  const bool hasAppliedReceived =
+    aBackend.mStatus && aBackend.mStatus->mReceived >= aRequired.mPosition &&
+    aContext.mNow - aBackend.mStatusAskedAt > lag + kApplyMargin;
+  return hasAppliedReceived ||
+         aContext.mNow - aRequired.mSince > lag + kApplyMargin;
 }
 
 Duration
@@ -157,6 +161,26 @@
   RequestUrgentSample(aContext, *group);
 }
 
+void
+RerouteQueuedReads(Context& aContext, Group& aGroup)
+{
+  Backend* const primary = Find(aContext.mState.mBackends, aGroup.mPrimary);
+  if (primary == nullptr) {
+    return;
+  }
+  const std::map<QueuePlace, SessionId> queue = primary->mQueue;
+  for (const auto& [place, id] : queue) {
+    Session* const session = Find(aContext.mState.mSessions, id);
+    const bool isQueued = session != nullptr && session->mActive &&
+                          session->mActive->mStage == StatementStage::Queued &&
+                          session->mActive->mServer == primary->mId;
+    if (isQueued && !NeedsPrimary(aContext, *session)) {
+      LeaveQueue(aContext, *session);
+      RouteStatement(aContext, *session);
+    }
+  }
+}
+
 const Route*
 RouteOf(const Context& aContext, const Session& aSession)
 {
@@ -204,7 +228,10 @@
   if (group == nullptr) {
     return std::nullopt;
   }
-  const Instant oldest = aContext.mNow - route->mMaxAge + kAgeMargin;
+  // The age counts from the statement's arrival, so that a replica that catches
+  // up while the statement waits can serve it.
+  const Instant oldest =
+    aSession.mActive->mArrivedAt - route->mMaxAge + kAgeMargin;
   const auto it = std::find_if(group->mSamples.begin(),
                                group->mSamples.end(),
                                [oldest](const PositionSample& aSample) {
--- a/Source/Session/Routing.h
+++ b/Source/Session/Routing.h
@@ -10,6 +10,11 @@
 /// Without a suitable server the statement waits until the group has one.
 void RouteStatement(Context& aContext, Session& aSession);
 
+/// Routes the reads in the queue of a group's primary again, since a replica
+/// may have reached the positions that they require. Their places in the order
+/// of arrival stay the same.
+void RerouteQueuedReads(Context& aContext, Group& aGroup);
+
 /// The route for a session's next statement: that of its transaction, or the
 /// current one of its database; nullptr if there is none.
 const Route* RouteOf(const Context& aContext, const Session& aSession);
@@ -28,8 +33,9 @@
   Instant mSince;
 };
 
-/// The lowest log position at which a replica may serve a read of the session
-/// now; none if no replica may.
+/// The lowest log position at which a replica may serve the active read of the
+/// session; none if no replica may. The allowed age counts from the arrival of
+/// the read.
 std::optional<RequiredPosition> RequiredReplicaPosition(
   const Context& aContext,
   const Session& aSession);
--- a/Tests/Gateway/GatewayDriver.cpp
+++ b/Tests/Gateway/GatewayDriver.cpp
@@ -32,7 +32,9 @@
 {
   mState.mSelf.mEntry = { "h1", { "10.0.0.1", 1 }, "a", 7 };
   mState.mSelf.mRegions = { { "a", "r" }, { "b", "r" }, { "c", "q" } };
-  mServers = { { "s1" }, { "s2" }, { "s3" } };
+  for (const char* const name : { "s1", "s2", "s3" }) {
+    mServers.emplace_back().mName = name;
+  }
   mServers[0].mPrimary = true;
   Start(mState, mNow);
   Deliver(TimePassed{});
@@ -282,9 +284,11 @@
   status.mTerm = aServer.mTerm;
   status.mReceived = { aServer.mTerm, aServer.mIndex };
   status.mPauseTerm = aServer.mPauseTerm;
+  status.mLag = aServer.mLag;
   status.mConnections = aServer.mConnections;
   reply.mStatus = status;
-  reply.mPosition = status.mReceived;
+  reply.mPosition =
+    Position{ aServer.mTerm, aServer.mAppliedIndex.value_or(aServer.mIndex) };
   return reply;
 }
 
--- a/Tests/Gateway/GatewayDriver.h
+++ b/Tests/Gateway/GatewayDriver.h
@@ -97,6 +97,9 @@
     bool mPrimary = false;
     Term mTerm = 1;
     std::uint64_t mIndex = 100;
+    /// The index that it has applied, if it is behind mIndex.
+    std::optional<std::uint64_t> mAppliedIndex;
+    Duration mLag{ 0 };
     Term mPauseTerm = 0;
     std::uint32_t mConnections = 0;
     /// Whether it refuses connections because it holds too many.
--- a/Tests/Gateway/RoutingTest.cpp
+++ b/Tests/Gateway/RoutingTest.cpp
@@ -1,3 +1,6 @@
+#include <map>
+#include <string>
+
 #include <catch2/catch.hpp>
 
 #include "Gateway/Tuning.h"
@@ -6,6 +9,60 @@
 using namespace camphorstep;
 using namespace camphorstep::gateway;
 
+namespace {
+
+/// More reads than the primary is given at once.
+constexpr std::uint64_t kReads = 20;
+
+/// Lets the primary write an entry every 100 ms, which replicas receive but do
+/// not apply.
+void
+WriteEntries(GatewayDriver& aDriver, int aCount)
+{
+  for (int n = 0; n < aCount; ++n) {
+    for (GatewayDriver::FakeServer& server : aDriver.mServers) {
+      ++server.mIndex;
+    }
+    aDriver.Run(100ms);
+  }
+}
+
+/// Starts with replicas that have stopped applying what they receive.
+void
+DelayReplicas(GatewayDriver& aDriver)
+{
+  for (const char* const name : { "s2", "s3" }) {
+    GatewayDriver::FakeServer& server = aDriver.Server(name);
+    server.mAppliedIndex = server.mIndex;
+    server.mLag = 5s;
+  }
+  WriteEntries(aDriver, 20);
+}
+
+/// Sends reads in sessions of their own.
+void
+SendReads(GatewayDriver& aDriver, const std::string& aDatabase)
+{
+  for (std::uint64_t n = 1; n <= kReads; ++n) {
+    aDriver.OpenSession(n, aDatabase);
+    aDriver.Send(n, StatementKind::Read);
+  }
+}
+
+/// Removes the statements that were sent to servers; returns how many there
+/// were at each.
+std::map<std::string, std::size_t>
+CountSent(GatewayDriver& aDriver)
+{
+  std::map<std::string, std::size_t> counts;
+  while (const auto sent = aDriver.NextStatement()) {
+    ++counts[aDriver.ServerOf(sent->mLink)];
+  }
+  return counts;
+}
+
+}
+
 TEST_CASE("Reads that need the primary go there without a position",
           "[Routing]")
 {
@@ -167,3 +224,45 @@
   driver.Run(500ms);
   CHECK(idle() == 0);
 }
+
+// Load: both replicas of a group apply late and all reads of the group wait for
+// the primary.
+TEST_CASE("Reads in the primary's queue move to a replica that has caught up",
+          "[Routing]")
+{
+  GatewayDriver driver;
+  DelayReplicas(driver);
+  SendReads(driver, "near");
+  const auto atFirst = CountSent(driver);
+  REQUIRE(atFirst.size() == 1);
+  REQUIRE(atFirst.contains("s1"));
+  REQUIRE(atFirst.at("s1") < kReads);
+  // Seven tenths of the entries of the allowed age are still missing to a read
+  // that would arrive now.
+  const std::uint64_t index = driver.Server("s1").mIndex;
+  WriteEntries(driver, 5);
+  CHECK(CountSent(driver).empty());
+  driver.Server("s2").mAppliedIndex = index - 11;
+  driver.Run(300ms);
+  const auto later = CountSent(driver);
+  CHECK(later.size() == 1);
+  CHECK(later.contains("s2"));
+}
+
+TEST_CASE("Reads without a primary go to a replica that has caught up",
+          "[Routing]")
+{
+  GatewayDriver driver;
+  DelayReplicas(driver);
+  driver.Server("s1").mDown = true;
+  driver.Run(kEvidenceTimeout + 50ms);
+  driver.OpenSession(1, "near");
+  driver.Send(1, StatementKind::Read);
+  CHECK_FALSE(driver.NextStatement());
+  driver.Server("s3").mAppliedIndex = driver.Server("s3").mIndex;
+  driver.Run(300ms);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  CHECK(driver.ServerOf(read->mLink) == "s3");
+  CHECK(read->mRequest.mAfter);
+}
