Fleet: Drop a source of the same data centre that lost the promoter's lease

The first host of a data centre queries the promoter. If that is a host of its own data centre which has restarted, it no longer holds the lease and queries the first host in turn. A source that does not precede this host now has to be the promoter. Sources and Following held the same code for dropping a source; one copy is left.

--- a/Source/Fleet/Following.cpp
+++ b/Source/Fleet/Following.cpp
@@ -90,15 +90,6 @@
   }
 }
 
-void
-DropSource(Context& aContext)
-{
-  SourceState& sourceState = aContext.mState.mFleet.mSourceState;
-  sourceState.mSource.clear();
-  sourceState.mIsResponsive = false;
-  sourceState.mIsQueryPending = false;
-}
-
 /// Whether a host that should be asked rather than the present source has had
 /// time to come back.
 bool
@@ -112,6 +103,19 @@
   return best != nullptr && best->mName != sourceState.mSource;
 }
 
+/// Whether the host that reported may stay the source. One that does not
+/// precede this host was chosen as the promoter only. If it has lost the lease
+/// it may query this host itself, and then neither would learn anything.
+bool
+IsSuitableSource(const Context& aContext, const PeerReport& aReport)
+{
+  const State& state = aContext.mState;
+  const HostEntry* const source =
+    Find(state.mCatalogue.mHosts, state.mFleet.mSourceState.mSource);
+  return aReport.mIsPromoter ||
+         (source != nullptr && PrecedesInDataCentre(aContext, *source));
+}
+
 /// Asks the source; without one, the best candidate becomes the source.
 void
 QueryNextSource(Context& aContext)
@@ -183,8 +187,7 @@
   if (HoldsPromoterLease(aContext)) {
     return;
   }
-  const bool isUnsuitable = !IsFollower(aContext) && !aReport.mIsPromoter;
-  if (isUnsuitable) {
+  if (!IsSuitableSource(aContext, aReport)) {
     BackOffSource(aContext, "it is no longer the promoter");
     PollAllTables(aContext);
   } else if (HasBetterSource(aContext)) {
--- a/Source/Fleet/Sources.cpp
+++ b/Source/Fleet/Sources.cpp
@@ -34,6 +34,14 @@
 
 }
 
+bool
+PrecedesInDataCentre(const Context& aContext, const HostEntry& aHost)
+{
+  const HostEntry& self = aContext.mState.mSelf.mEntry;
+  return aHost.mDataCentre == self.mDataCentre && aHost.mName != self.mName &&
+         SortKeyOf(aHost) < SortKeyOf(self);
+}
+
 std::vector<const HostEntry*>
 SourceCandidates(const Context& aContext)
 {
@@ -41,8 +49,7 @@
   const HostEntry& self = state.mSelf.mEntry;
   std::vector<const HostEntry*> candidates;
   for (const auto& [name, host] : state.mCatalogue.mHosts) {
-    if (host.mDataCentre == self.mDataCentre && name != self.mName &&
-        SortKeyOf(host) < SortKeyOf(self)) {
+    if (PrecedesInDataCentre(aContext, host)) {
       candidates.push_back(&host);
     }
   }
@@ -117,6 +124,13 @@
         { "reason", aReason },
         { "silent_ms",
           Milliseconds(aContext.mNow - sourceState.mLastReceivedAt) } });
+  DropSource(aContext);
+}
+
+void
+DropSource(Context& aContext)
+{
+  SourceState& sourceState = aContext.mState.mFleet.mSourceState;
   sourceState.mSource.clear();
   sourceState.mIsResponsive = false;
   sourceState.mIsQueryPending = false;
--- a/Tests/Gateway/FollowingTest.cpp
+++ b/Tests/Gateway/FollowingTest.cpp
@@ -251,6 +251,39 @@
   CHECK(driver.mState.mFleet.mSourceState.mSource.empty());
 }
 
+// Load: all hosts lose power, and the store still names the former promoter, a
+// host of this data centre that queries this one.
+TEST_CASE("Two hosts of a data centre do not use each other as source",
+          "[Following]")
+{
+  Follower driver;
+  driver.mState.mCatalogue.mHosts["h2"].mProcessorShare = 100;
+  for (GatewayDriver::FakeServer& server : driver.mServers) {
+    server.mDown = true;
+  }
+  driver.Run(kEvidenceTimeout + 500ms);
+  for (GatewayDriver::FakeServer& server : driver.mServers) {
+    server.mDown = false;
+  }
+  driver.mState.mFleet.mSourceState = {};
+  driver.mState.mTimers.Arm(TimerKind::QueryPeer, 0, driver.mNow);
+  std::optional<SendPeerQuery> query;
+  while (!query) {
+    driver.Run(10ms);
+    query = driver.Take<SendPeerQuery>();
+    REQUIRE(driver.mNow < Instant{ 1010s });
+  }
+  REQUIRE(query->mAddress.mIp == "h2");
+  PeerReport report;
+  report.mNumber = query->mQuery.mNumber;
+  driver.Deliver(report);
+  CHECK(driver.mState.mFleet.mSourceState.mSource.empty());
+  driver.OpenSession(1, "main");
+  driver.Send(1, StatementKind::Read);
+  driver.Run(600ms);
+  CHECK(driver.NextStatement());
+}
+
 TEST_CASE("A primary that half of the hosts cannot reach is replaced",
           "[Following]")
 {
