--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -63,6 +63,8 @@
   }
   const Duration lag =
     aBackend.mStatus ? aBackend.mStatus->mLag : Duration{ 0 };
+  // The lag is the time until a replica has applied all that it had received
+  // when it was asked.
   const bool hasAppliedReceived =
     aBackend.mStatus && aBackend.mStatus->mReceived >= aRequired.mPosition &&
     aContext.mNow - aBackend.mStatusAskedAt > lag + kApplyMargin;
--- a/Tests/Gateway/AdmissionTest.cpp
+++ b/Tests/Gateway/AdmissionTest.cpp
@@ -15,7 +15,8 @@
 constexpr Instant kArrival{ 100s };
 constexpr Instant kDeadline = kArrival + 1s;
 
-/// A pace with starts at an even interval while others wait.
+/// The pace of a server that takes a statement at an even interval while others
+/// wait.
 ServerPace
 PaceOf(Duration aStartInterval, Duration aResponseTime)
 {
@@ -27,8 +28,7 @@
   return pace;
 }
 
-/// The sessions that the core has refused, as far as their answers were not
-/// looked at yet.
+/// The sessions whose statements were refused since the last call.
 std::vector<SessionId>
 TakeRefusals(GatewayDriver& aDriver)
 {
@@ -47,7 +47,7 @@
 {
   CHECK(LatestStart(PaceOf(10ms, 150ms), kArrival, kDeadline) ==
         kDeadline - 300ms);
-  // Within a tenth and a half of the time limit.
+  // At least a tenth of the time limit is reserved, and at most half of it.
   CHECK(LatestStart(PaceOf(10ms, 1ms), kArrival, kDeadline) ==
         kDeadline - 100ms);
   CHECK(LatestStart(PaceOf(10ms, 900ms), kArrival, kDeadline) ==
--- a/Tests/Gateway/RoutingTest.cpp
+++ b/Tests/Gateway/RoutingTest.cpp
@@ -27,7 +27,7 @@
   }
 }
 
-/// Starts with replicas that have stopped applying what they receive.
+/// Has the replicas stop applying entries, and the primary write for 2 s more.
 void
 DelayReplicas(GatewayDriver& aDriver)
 {
@@ -49,8 +49,8 @@
   }
 }
 
-/// Removes the statements that were sent to servers; returns how many there
-/// were at each.
+/// Removes the statements that were sent to servers, and returns how many were
+/// sent to each.
 std::map<std::string, std::size_t>
 CountSent(GatewayDriver& aDriver)
 {
@@ -237,11 +237,10 @@
   REQUIRE(atFirst.size() == 1);
   REQUIRE(atFirst.contains("s1"));
   REQUIRE(atFirst.at("s1") < kReads);
-  // Seven tenths of the entries of the allowed age are still missing to a read
-  // that would arrive now.
   const std::uint64_t index = driver.Server("s1").mIndex;
   WriteEntries(driver, 5);
   CHECK(CountSent(driver).empty());
+  // Enough for reads that arrived 500 ms ago, but not for one that arrives now.
   driver.Server("s2").mAppliedIndex = index - 11;
   driver.Run(300ms);
   const auto later = CountSent(driver);
