--- a/Source/Shell/FramedConnection.h
+++ b/Source/Shell/FramedConnection.h
@@ -43,6 +43,9 @@
 
   bool IsClosed() const { return mSocket.IsClosed(); }
 
+  /// The number of bytes of an incomplete frame that have arrived.
+  std::size_t PendingBytes() const { return mInput.Pending(); }
+
 private:
   void HandleData(std::string_view aBytes);
 
--- a/Source/Shell/GatewayPeers.cpp
+++ b/Source/Shell/GatewayPeers.cpp
@@ -147,9 +147,17 @@
 void
 GatewayPeers::CloseOutgoing()
 {
-  if (mOutgoing) {
-    Retire(std::move(mOutgoing));
+  if (!mOutgoing) {
+    return;
+  }
+  if (mOutgoing->PendingBytes() > 0) {
+    WriteLog(
+      LogLevel::Info,
+      "closing a connection to a host before its report was complete",
+      { { "address", mOutgoingAddress.mIp },
+        { "received_bytes", std::to_string(mOutgoing->PendingBytes()) } });
   }
+  Retire(std::move(mOutgoing));
 }
 
 void
--- a/Source/Wire/Frame.h
+++ b/Source/Wire/Frame.h
@@ -26,6 +26,9 @@
   /// std::length_error if the announced length is over kMaxFrameSize.
   std::optional<std::string> Next();
 
+  /// The number of bytes of the next frame that have arrived.
+  std::size_t Pending() const { return mBytes.size() - mOffset; }
+
 private:
   std::string mBytes;
   std::size_t mOffset = 0;
