Fleet: Give up a source only when nothing of its report arrives

A report with 4,266 routes is about 200 KB, 170 ms on a host's link of 10 Mbit/s, and a source whose report was not complete 150 ms after the longest wait was dropped. Its followers asked it again for everything, dropped it, and turned to the store all at once.

The shell now tells the core when a part of a report arrives. A report that has begun to arrive is given up when nothing more comes for 500 ms; a source that sends nothing still has 150 ms.

Test "A source whose large report arrives slowly is not given up" failed before and with the change reverted, and passes. It now stores a promoter's lease: without one the gateway took it, and a promoter has no source.

--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "Common/Time.h"
@@ -32,6 +33,9 @@
   /// Queries sent so far, to all sources, and when the last one was.
   std::uint64_t mLastQueryNumber = 0;
   Instant mAskedAt;
+  /// When a part of the report on the pending query last arrived; none if
+  /// nothing of it has.
+  std::optional<Instant> mLastPartAt;
   /// When the source was last heard.
   Instant mLastReceivedAt;
   /// The statuses that it has reported before.
--- a/Source/Fleet/Following.cpp
+++ b/Source/Fleet/Following.cpp
@@ -15,6 +15,9 @@
 
 /// How long an answer may take beyond the time that it may wait for news.
 constexpr Duration kAnswerTimeout = 150ms;
+/// A report of which a part has arrived is given up when nothing more arrives
+/// for this long. A large one takes a while on a thin link.
+constexpr Duration kPartTimeout = 500ms;
 /// The least time between two queries of a source that answers.
 constexpr Duration kMinQueryInterval = 50ms;
 /// A better source than the one that answers is tried after this time.
@@ -29,6 +32,16 @@
   return aFollowing.mIsResponsive ? kLongPollTimeout : Duration{ 0 };
 }
 
+/// When a pending query is given up.
+Instant
+QueryDeadline(const SourceState& aSource)
+{
+  const Instant due = aSource.mAskedAt + MaxQueryWait(aSource) + kAnswerTimeout;
+  return aSource.mLastPartAt
+           ? std::max(due, *aSource.mLastPartAt + kPartTimeout)
+           : due;
+}
+
 void
 QuerySource(Context& aContext, const HostEntry& aSource)
 {
@@ -45,10 +58,10 @@
   }
   query.mSilent = SilentServers(aContext);
   sourceState.mAskedAt = aContext.mNow;
+  sourceState.mLastPartAt.reset();
   sourceState.mIsQueryPending = true;
   const bool isNew = !sourceState.mIsResponsive;
-  state.mTimers.Arm(
-    TimerKind::QueryPeer, 0, aContext.mNow + query.mMaxWait + kAnswerTimeout);
+  state.mTimers.Arm(TimerKind::QueryPeer, 0, QueryDeadline(sourceState));
   Emit(aContext,
        SendPeerQuery{ aSource.mPeerAddress, isNew, std::move(query) });
 }
@@ -148,8 +161,7 @@
       TimerKind::QueryPeer, 0, aContext.mNow + kSourceSearchInterval);
     return;
   }
-  const Instant due =
-    sourceState.mAskedAt + MaxQueryWait(sourceState) + kAnswerTimeout;
+  const Instant due = QueryDeadline(sourceState);
   if (sourceState.mIsQueryPending && aContext.mNow < due) {
     aContext.mState.mTimers.Arm(TimerKind::QueryPeer, 0, due);
     return;
@@ -163,6 +175,15 @@
   QueryNextSource(aContext);
 }
 
+void
+HandlePeerReportArriving(Context& aContext)
+{
+  SourceState& sourceState = aContext.mState.mFleet.mSourceState;
+  if (sourceState.mIsQueryPending) {
+    sourceState.mLastPartAt = aContext.mNow;
+  }
+}
+
 void
 HandlePeerReported(Context& aContext, const PeerReport& aReport)
 {
--- a/Source/Fleet/Following.h
+++ b/Source/Fleet/Following.h
@@ -9,6 +9,9 @@
 /// for one.
 void FollowSource(Context& aContext);
 
+/// Gives the source time for the rest of a report of which a part has arrived.
+void HandlePeerReportArriving(Context& aContext);
+
 /// Takes the source's report and asks it again.
 void HandlePeerReported(Context& aContext, const PeerReport& aReport);
 
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -83,6 +83,10 @@
   PeerQuery mQuery;
 };
 
+/// A part of the report of the host that was queried last has arrived.
+struct PeerReportArriving
+{};
+
 /// The connection to the host that was queried last was closed or refused.
 struct PeerConnectionLost
 {};
@@ -115,6 +119,7 @@
                                PromoteAnswered,
                                PeerQueryReceived,
                                PeerReport,
+                               PeerReportArriving,
                                PeerConnectionLost,
                                SettingsChanged,
                                StopRequested,
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -66,6 +66,10 @@
     HandlePeerAsked(mContext, aEvent);
   }
   void operator()(const PeerConnectionLost&) const { HandlePeerLost(mContext); }
+  void operator()(const PeerReportArriving&) const
+  {
+    HandlePeerReportArriving(mContext);
+  }
   void operator()(const PeerReport& aEvent) const
   {
     HandlePeerReported(mContext, aEvent);
--- a/Source/Shell/FramedConnection.cpp
+++ b/Source/Shell/FramedConnection.cpp
@@ -57,6 +57,9 @@
       return;
     }
   }
+  if (mInput.Pending() > 0 && mHandlers.mOnPartialFrame) {
+    mHandlers.mOnPartialFrame();
+  }
 }
 
 }
--- a/Source/Shell/FramedConnection.h
+++ b/Source/Shell/FramedConnection.h
@@ -19,6 +19,8 @@
   {
     std::function<void()> mOnConnected;
     std::function<void(const std::string&)> mOnFrame;
+    /// Called when a part of a frame has arrived; may be empty.
+    std::function<void()> mOnPartialFrame = {};
     /// Called once, when the connection has ended for any reason but Close.
     std::function<void()> mOnClosed;
   };
--- a/Source/Shell/GatewayPeers.cpp
+++ b/Source/Shell/GatewayPeers.cpp
@@ -138,6 +138,9 @@
   handlers.mOnFrame = [this](const std::string& aPayload) {
     HandleReport(aPayload);
   };
+  handlers.mOnPartialFrame = [this] {
+    mSink.Deliver(gateway::PeerReportArriving{});
+  };
   handlers.mOnClosed = [this] { LoseOutgoing(); };
   mOutgoingAddress = aAddress;
   mOutgoing = std::make_unique<FramedConnection>(std::move(handlers));
--- a/Tests/Gateway/FollowingTest.cpp
+++ b/Tests/Gateway/FollowingTest.cpp
@@ -370,3 +370,23 @@
     CHECK_FALSE(backend.mControlLink);
   }
 }
+
+TEST_CASE("A source is given up when its report stops arriving", "[Following]")
+{
+  Follower driver;
+  driver.Follow(500ms);
+  while (driver.mQuery) {
+    driver.Follow(10ms);
+  }
+  driver.Run(400ms);
+  const auto isResponsive = [&driver] {
+    return driver.mState.mFleet.mSourceState.mIsResponsive;
+  };
+  for (int n = 0; n < 10; ++n) {
+    driver.Deliver(PeerReportArriving{});
+    driver.Run(100ms);
+  }
+  CHECK(isResponsive());
+  driver.Run(500ms);
+  CHECK_FALSE(isResponsive());
+}
--- a/Tests/Platform/SlowTransferTest.cpp
+++ b/Tests/Platform/SlowTransferTest.cpp
@@ -206,6 +206,10 @@
                      R"({"peers":"127.0.0.1:)" + std::to_string(kSlowPort) +
                        R"(","data_centre":"a","incarnation":1,)"
                        R"("processor_thousandths":9000})");
+    // Otherwise the gateway itself would take the promoter's lease.
+    site.Store().Put("camphorstep",
+                     "promoter",
+                     R"({"holder":"h0","incarnation":1,"token":1})");
   });
   cxxtools::EventLoop loop;
   const SlowServer source(loop, AnswerQuery);
