Gateway, platform: Tell versions of the store's eras apart

Cause: a host ignored whatever had a version that was not higher than its own. After the store had returned from an older copy, all versions were lower: it ignored whole reads and other hosts' reports, asked for changes after a version that the store did not have, was refused, read everything, ignored it and asked again at once. Had the numbers caught up, it would have taken the changes after its number for all.

A version now has the era in its upper bits, set in the adapter, so that tables, reports, own entries and the lease's row compare rightly wherever they are kept or passed on. Until a first return the numbers are those that earlier hosts exchange. Changes that the store gives for a version of another era lead to a whole read; so do pages of a read that come from two eras.

Test "The whole path on the platform's stand-in", section "Configurations are in force after the store lost what it had acknowledged", failed before and passes.

--- a/Source/Catalogue/CatalogueState.h
+++ b/Source/Catalogue/CatalogueState.h
@@ -17,9 +17,9 @@
 struct TableProgress
 {
   bool mKnown = false;
-  std::uint64_t mVersion = 0;
+  StoreVersion mVersion = 0;
   /// The version with which the usable rows last changed.
-  std::uint64_t mContentVersion = 0;
+  StoreVersion mContentVersion = 0;
   /// A time at which the store had nothing newer.
   Instant mConfirmedAt;
   /// The call that is underway, and when it was made; none if there is none.
@@ -45,7 +45,7 @@
   CallId mRegisterCall;
   bool mRegistered = false;
   /// The store's version that it got.
-  std::uint64_t mRegisteredVersion = 0;
+  StoreVersion mRegisteredVersion = 0;
 };
 
 /// The lease on promotions, as this host knows it.
--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -115,10 +115,24 @@
                   kMaxStoreRetryDelay);
 }
 
+/// Whether the store has returned from an older copy since the rows that this
+/// host has.
+bool
+IsOfOtherEra(const TableProgress& aProgress, const TableAnswer& aAnswer)
+{
+  return EraOf(aAnswer.mVersion) != EraOf(aProgress.mVersion);
+}
+
 /// Joins the pages of a whole read. Returns the answer once it is complete.
 std::optional<TableAnswer>
 JoinPages(Context& aContext, TableProgress& aProgress, const TableAnswer& aPage)
 {
+  if (aProgress.mPages &&
+      EraOf(aProgress.mPages->mVersion) != EraOf(aPage.mVersion)) {
+    aProgress.mPages.reset();
+    RereadTable(aContext, aPage.mTable);
+    return std::nullopt;
+  }
   if (!aProgress.mPages) {
     // Rows of the first page are known up to its own version only.
     aProgress.mPages = aPage;
@@ -235,6 +249,11 @@
     return;
   }
   std::optional<TableAnswer> answer = aAnswer;
+  if (!aAnswer.mIsSnapshot && IsOfOtherEra(progress, aAnswer)) {
+    // What the store has lost and written again is not among the changes.
+    RereadTable(aContext, aAnswer.mTable);
+    return;
+  }
   if (aAnswer.mIsSnapshot) {
     answer = JoinPages(aContext, progress, aAnswer);
     if (!answer) {
@@ -288,7 +307,7 @@
 void
 NoteConfirmed(Context& aContext,
               Table aTable,
-              std::uint64_t aVersion,
+              StoreVersion aVersion,
               Instant aAt)
 {
   TableProgress& progress = ProgressOf(aContext, aTable);
--- a/Source/Catalogue/Tables.h
+++ b/Source/Catalogue/Tables.h
@@ -29,7 +29,7 @@
 /// return if the store was away.
 void NoteConfirmed(Context& aContext,
                    Table aTable,
-                   std::uint64_t aVersion,
+                   StoreVersion aVersion,
                    Instant aAt);
 
 /// Writes this host's entry until the store has it.
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -81,7 +81,7 @@
 {
   CallId mCall;
   Table mTable = Table::Operator;
-  std::uint64_t mAfter = 0;
+  StoreVersion mAfter = 0;
   /// How long the store may hold the call while there is no change.
   Duration mWait{ 0 };
 };
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -64,7 +64,7 @@
   CallId mCall;
   CallOutcome mOutcome = CallOutcome::Unknown;
   /// If the outcome is Ok: the version of the written rows.
-  std::uint64_t mVersion = 0;
+  StoreVersion mVersion = 0;
   /// If the outcome is Ok: the store's clock after the write.
   Duration mStoreTime{ 0 };
 };
--- a/Source/Gateway/PeerMessage.h
+++ b/Source/Gateway/PeerMessage.h
@@ -71,7 +71,7 @@
 {
   Table mTable = Table::Operator;
   /// The store's version up to which the sender's copy is complete.
-  std::uint64_t mVersion = 0;
+  StoreVersion mVersion = 0;
   /// Age, when the report was sent, of the last confirmation that the store
   /// had nothing newer.
   Duration mAge{ 0 };
@@ -119,7 +119,7 @@
   std::uint64_t mSequence = 0;
   /// For each table, the version that the querying host has; zero if it has
   /// none.
-  std::array<std::uint64_t, kTableCount> mVersions{};
+  std::array<StoreVersion, kTableCount> mVersions{};
   /// The servers that are silent to the querying host, or to hosts that query
   /// it.
   std::vector<SilentServer> mSilent;
@@ -131,7 +131,7 @@
     aArchive(mHost, mSilent);
     ArchivePacked(aArchive, mMaxWait);
     ArchivePacked(aArchive, mSequence);
-    for (std::uint64_t& version : mVersions) {
+    for (StoreVersion& version : mVersions) {
       ArchivePacked(aArchive, version);
     }
   }
--- a/Source/Gateway/StoreRecord.h
+++ b/Source/Gateway/StoreRecord.h
@@ -7,6 +7,7 @@
 
 #include "Common/Time.h"
 #include "Gateway/Ids.h"
+#include "Gateway/StoreVersion.h"
 #include "Model/Profile.h"
 #include "Model/Topology.h"
 #include "Wire/Packed.h"
@@ -143,7 +144,7 @@
   std::uint64_t mIncarnation = 0;
   std::uint64_t mToken = 0;
   /// The version of the row, for conditional writes.
-  std::uint64_t mRowVersion = 0;
+  StoreVersion mRowVersion = 0;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -187,7 +188,7 @@
   /// The last key of this page if there are more pages; else empty.
   std::string mContinuationKey;
   /// The store's version up to which the rows are current.
-  std::uint64_t mVersion = 0;
+  StoreVersion mVersion = 0;
   /// The store's monotonic clock.
   Duration mStoreTime{ 0 };
   std::optional<RoutingVersion> mRouting;
--- a/Tests/Platform/PathTest.cpp
+++ b/Tests/Platform/PathTest.cpp
@@ -157,6 +157,28 @@
     site.Publish(4, { "main", "near", "added" });
     CHECK(OpenWhenServed("added"));
   }
+  SECTION("Configurations are in force after the store lost what it had "
+          "acknowledged")
+  {
+    site.Do([&] { site.Store().KeepCopy(); });
+    site.Publish(4, { "main", "near", "lost" });
+    CHECK(OpenWhenServed("lost"));
+    site.Do([&] { site.Store().ReturnFromCopy(); });
+    CHECK(Caller("lost").mWelcome.empty());
+    SECTION("when it has fewer versions than before")
+    {
+      site.Publish(7, { "main", "near", "added" });
+    }
+    SECTION("when it has given out the same versions again")
+    {
+      site.Publish(4, { "main", "near", "lost" });
+      site.Publish(7, { "main", "near", "added" });
+      for (int n = 0; n < 20; ++n) {
+        site.Publish(7, { "main", "near", "added" });
+      }
+    }
+    CHECK(OpenWhenServed("added"));
+  }
   SECTION("A primary that dies is replaced, and nothing acknowledged is lost")
   {
     site.Do([&] { site.Group().Kill(0); });
--- a/Tests/Platform/RowsTest.cpp
+++ b/Tests/Platform/RowsTest.cpp
@@ -22,6 +22,19 @@
   return R"({"rows":[)" + aRows + R"(],"Ver":9,"NowMs":1234})";
 }
 
+/// Reads answers of a store without an era.
+void
+ReadRows(const std::string& aBody, TableAnswer& aAnswer)
+{
+  platform::ReadRows(aBody, 0, aAnswer);
+}
+
+void
+ReadReceipt(const std::string& aBody, StoreWritten& aWritten)
+{
+  platform::ReadReceipt(aBody, 0, aWritten);
+}
+
 constexpr const char* kServer =
   R"({"Service":"g","Address":"10.0.0.9:8080","Zone":"z","Capacity":5,)"
   R"("State":"draining","DbRole":"primary","born":17,"Seq":4})";
@@ -156,3 +169,25 @@
   ReadReceipt("{}", written);
   CHECK(written.mOutcome == CallOutcome::Unknown);
 }
+
+TEST_CASE("Versions of a later era are higher, and the store gets its numbers",
+          "[Rows]")
+{
+  TableAnswer answer;
+  answer.mTable = Table::Fleet;
+  platform::ReadRows(
+    Body(Row("promoter", R"({"holder":"h1","incarnation":1,"token":3})")),
+    2,
+    answer);
+  CHECK(answer.mVersion > MakeStoreVersion(1, 1'000'000));
+  CHECK(gateway::NumberOf(answer.mVersion) == 9);
+  REQUIRE(answer.mLease);
+  CHECK(EraOf(answer.mLease->mRowVersion) == 2);
+  const auto transaction = ParseJson(WriteLeaseTransaction(*answer.mLease));
+  const auto& condition = transaction.getMember("Precondition").getMember(0);
+  CHECK(platform::NumberOf(condition, "Ver") == 7);
+  StoreWritten written;
+  written.mOutcome = CallOutcome::Ok;
+  platform::ReadReceipt(R"({"Ver":12,"NowMs":700})", 2, written);
+  CHECK(written.mVersion == MakeStoreVersion(2, 12));
+}
--- a/Tests/Platform/Standin/HttpStandin.cpp
+++ b/Tests/Platform/Standin/HttpStandin.cpp
@@ -94,7 +94,8 @@
 void
 HttpStandin::Answer(std::uint64_t aClient,
                     unsigned aStatus,
-                    const std::string& aBody)
+                    const std::string& aBody,
+                    const std::string& aHeaders)
 {
   const auto it = mClients.find(aClient);
   if (it == mClients.end() || it->second.mSocket->IsClosed()) {
@@ -103,7 +104,7 @@
   it->second.mSocket->Append(
     "HTTP/1.1 " + std::to_string(aStatus) +
     " X\r\nContent-Type: application/json\r\nContent-Length: " +
-    std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
+    std::to_string(aBody.size()) + "\r\n" + aHeaders + "\r\n" + aBody);
   it->second.mSocket->Flush();
 }
 
--- a/Tests/Platform/Standin/HttpStandin.h
+++ b/Tests/Platform/Standin/HttpStandin.h
@@ -36,9 +36,12 @@
               const Address& aAddress,
               Handler aHandler);
 
+  /// Answers with a status, a body and further headers, each of which ends with
+  /// a line break.
   void Answer(std::uint64_t aClient,
               unsigned aStatus,
-              const std::string& aBody);
+              const std::string& aBody,
+              const std::string& aHeaders = "");
 
 private:
   struct Client
--- a/Tests/Platform/Standin/StoreStandin.cpp
+++ b/Tests/Platform/Standin/StoreStandin.cpp
@@ -11,6 +11,7 @@
 constexpr double kTimerMs = 20.0;
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kGone = 410;
 constexpr unsigned kConditionFailed = 412;
 constexpr unsigned kUnavailable = 503;
 
@@ -60,11 +61,35 @@
   mRows[{ aTable, aKey }] = { aTable, aKey, aValue, mVersion };
 }
 
+void
+StoreStandin::KeepCopy()
+{
+  mCopy = mRows;
+  mCopyVersion = mVersion;
+}
+
+void
+StoreStandin::ReturnFromCopy()
+{
+  mRows = mCopy;
+  mVersion = mCopyVersion;
+  ++mEra;
+}
+
+void
+StoreStandin::Answer(std::uint64_t aClient,
+                     unsigned aStatus,
+                     const std::string& aBody)
+{
+  mHttp.Answer(
+    aClient, aStatus, aBody, "Store-Era: " + std::to_string(mEra) + "\r\n");
+}
+
 void
 StoreStandin::Handle(const HttpRequest& aRequest)
 {
   if (mFault == StoreFault::Refuse) {
-    mHttp.Answer(aRequest.mClient, kUnavailable, "{}");
+    Answer(aRequest.mClient, kUnavailable, "{}");
     return;
   }
   if (mFault == StoreFault::Silent) {
@@ -72,7 +97,7 @@
   }
   const std::string table = Parameter(aRequest, "Table");
   if (aRequest.mPath == "/rows-get") {
-    mHttp.Answer(aRequest.mClient, kOk, Rows(table, 0, false));
+    Answer(aRequest.mClient, kOk, Rows(table, 0, false));
   } else if (aRequest.mPath == "/rows-feed") {
     const auto wait =
       std::chrono::milliseconds(std::stoll(Parameter(aRequest, "WaitMs")));
@@ -84,7 +109,7 @@
   } else if (aRequest.mPath == "/rows-tx") {
     HandleTransaction(aRequest);
   } else {
-    mHttp.Answer(aRequest.mClient, kNotFound, "{}");
+    Answer(aRequest.mClient, kNotFound, "{}");
   }
 }
 
@@ -99,7 +124,7 @@
     const std::uint64_t version = exists ? it->second.mVersion : 0;
     if (static_cast<std::uint64_t>(*platform::NumberOf(condition, "Ver")) !=
         version) {
-      mHttp.Answer(aRequest.mClient, kConditionFailed, R"({"rows":[]})");
+      Answer(aRequest.mClient, kConditionFailed, R"({"rows":[]})");
       return;
     }
   }
@@ -117,10 +142,10 @@
     AnswerWatches();
     return;
   }
-  mHttp.Answer(aRequest.mClient,
-               kOk,
-               "{\"Ver\":" + std::to_string(mVersion) +
-                 ",\"NowMs\":" + std::to_string(SteadyMilliseconds()) + "}");
+  Answer(aRequest.mClient,
+         kOk,
+         "{\"Ver\":" + std::to_string(mVersion) +
+           ",\"NowMs\":" + std::to_string(SteadyMilliseconds()) + "}");
   AnswerWatches();
 }
 
@@ -158,10 +183,14 @@
 {
   std::vector<Watch> waiting;
   for (const Watch& watch : std::exchange(mWatches, {})) {
+    if (watch.mAfter > mVersion) {
+      Answer(watch.mClient, kGone, "{}");
+      continue;
+    }
     const std::string rows = Rows(watch.mTable, watch.mAfter, true);
     const bool hasChange = rows.find("\"rows\":[]") == std::string::npos;
     if (hasChange || Clock::now() >= watch.mEnd) {
-      mHttp.Answer(watch.mClient, kOk, rows);
+      Answer(watch.mClient, kOk, rows);
     } else {
       waiting.push_back(watch);
     }
--- a/Tests/Platform/Standin/StoreStandin.h
+++ b/Tests/Platform/Standin/StoreStandin.h
@@ -36,6 +36,11 @@
            const std::string& aKey,
            const std::string& aValue);
 
+  /// Keeps a copy of the rows, and returns from it: what was written since is
+  /// lost, versions are given out again, and the era grows.
+  void KeepCopy();
+  void ReturnFromCopy();
+
   /// What the store does from now on.
   void SetFault(StoreFault aFault) { mFault = aFault; }
 
@@ -60,6 +65,9 @@
     Clock::time_point mEnd;
   };
 
+  void Answer(std::uint64_t aClient,
+              unsigned aStatus,
+              const std::string& aBody);
   void Handle(const HttpRequest& aRequest);
   void HandleTransaction(const HttpRequest& aRequest);
   void PutEncoded(const std::string& aTable,
@@ -75,6 +83,9 @@
   cxxtools::Timer mTimer;
   std::map<std::pair<std::string, std::string>, Row> mRows;
   std::uint64_t mVersion = 0;
+  std::map<std::pair<std::string, std::string>, Row> mCopy;
+  std::uint64_t mCopyVersion = 0;
+  std::uint64_t mEra = 1;
   StoreFault mFault = StoreFault::None;
   std::vector<Watch> mWatches;
 };
