Group: Keep one promoter and its tokens when the store loses the lease

When the store returns from an older copy, its row of the lease may be one that ended long ago. A host that finds the row released, or held by itself or its earlier process, took the lease at once, while the host whose lease was lost still used its own; and the next token was one that had been given out before. The present holder gave its lease up.

A token now belongs to the era in which it was written, and the first of an era is higher than all before. A row whose token is of an earlier era shows nobody's lease: the holder writes it again at once, the others wait as long as a lease lasts from the time at which they saw the row. A write that the store did in another era than that of its condition holds nothing. Until a first return tokens are as before.

--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -1,6 +1,7 @@
 #include "Group/Promoter.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "Catalogue/Tables.h"
 #include "Common/Hash.h"
@@ -15,6 +16,9 @@
 constexpr Duration kLeaseCheckInterval = 250ms;
 /// Hosts claim an expired lease at different times within this period.
 constexpr Duration kMaxClaimDelay = 400ms;
+/// The first token of an era is higher than all of the era before, including
+/// those that the store has lost.
+constexpr std::uint64_t kTokensPerEra = 1'000'000;
 
 bool
 IsOwnLease(const Context& aContext, const PromoterLease& aLease)
@@ -56,17 +60,28 @@
   }
 }
 
+/// Whether a lease was written in the store's present era. Otherwise the store
+/// may have lost a later one, whose holder may still use it.
+bool
+IsOfRowEra(const PromoterLease& aLease)
+{
+  return aLease.mToken / kTokensPerEra == EraOf(aLease.mRowVersion);
+}
+
 /// Whether the lease has expired or was released, so that it can be claimed.
 bool
 IsLeaseFree(const Context& aContext)
 {
   const PromoterState& promoter = aContext.mState.mPromoter;
-  if (!promoter.mIsKnown || promoter.mLease.mHolder.empty()) {
+  if (!promoter.mIsKnown) {
     return true;
   }
-  // An earlier process of this host has ended, so its lease is free.
-  if (promoter.mLease.mHolder == aContext.mState.mSelf.mEntry.mName &&
-      !IsOwnLease(aContext, promoter.mLease)) {
+  // A lease of this host is one of its own or of an earlier process, which has
+  // ended.
+  const bool hasNoOtherHolder =
+    promoter.mLease.mHolder.empty() ||
+    promoter.mLease.mHolder == aContext.mState.mSelf.mEntry.mName;
+  if (hasNoOtherHolder && IsOfRowEra(promoter.mLease)) {
     return true;
   }
   return StoreTime(aContext) >=
@@ -104,9 +119,15 @@
 {
   const PromoterState& promoter = aContext.mState.mPromoter;
   PromoterLease lease = promoter.mLease;
+  if (!promoter.mIsKnown) {
+    const TableProgress& hosts = aContext.mState.mCatalogue.mTables.at(
+      static_cast<std::size_t>(Table::Fleet));
+    lease.mRowVersion = MakeStoreVersion(EraOf(hosts.mVersion), 0);
+  }
   lease.mHolder = aContext.mState.mSelf.mEntry.mName;
   lease.mIncarnation = aContext.mState.mSelf.mEntry.mIncarnation;
-  ++lease.mToken;
+  lease.mToken =
+    std::max(lease.mToken, EraOf(lease.mRowVersion) * kTokensPerEra) + 1;
   WriteLeaseRow(aContext, lease);
 }
 
@@ -144,6 +165,19 @@
   }
 }
 
+std::string_view
+DescribeFailure(CallOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case CallOutcome::Conflict:
+      return "another host wrote it first";
+    case CallOutcome::Ok:
+      return "the store had returned from an older copy";
+    default:
+      return "not confirmed";
+  }
+}
+
 /// Applies a row of the lease that the store held at aSeenAt, by the store's
 /// clock. Ignores rows that are not newer.
 void
@@ -153,8 +187,16 @@
   if (promoter.mIsKnown && aLease.mRowVersion <= promoter.mLease.mRowVersion) {
     return;
   }
+  const bool isOfNewEra =
+    EraOf(aLease.mRowVersion) > EraOf(promoter.mLease.mRowVersion);
+  if (isOfNewEra && HoldsPromoterLease(aContext)) {
+    // The other hosts wait as long as the lease may last.
+    promoter.mLease.mRowVersion = aLease.mRowVersion;
+    promoter.mSeenAt = aSeenAt;
+    return;
+  }
   // A write whose answer did not arrive has taken effect.
-  if (IsOwnLease(aContext, aLease) &&
+  if (IsOwnLease(aContext, aLease) && IsOfRowEra(aLease) &&
       aLease.mToken == promoter.mWrittenLease.mToken) {
     ApplyLeaseWrite(
       aContext, aLease.mRowVersion, aSeenAt, promoter.mWrittenLeaseAt);
@@ -162,7 +204,8 @@
   const bool isNewHolder = promoter.mLease.mHolder != aLease.mHolder;
   promoter.mLease = aLease;
   promoter.mIsKnown = true;
-  promoter.mSeenAt = aSeenAt;
+  promoter.mSeenAt =
+    isOfNewEra ? std::max(aSeenAt, StoreTime(aContext)) : aSeenAt;
   if (!IsOwnLease(aContext, promoter.mLease)) {
     promoter.mHeldUntil = Instant{};
   }
@@ -189,6 +232,10 @@
   NoteStoreTime(aContext, aAnswer.mStoreTime);
   if (aAnswer.mLease) {
     ApplyLeaseRow(aContext, *aAnswer.mLease, aAnswer.mStoreTime);
+  } else if (aAnswer.mIsSnapshot && EraOf(aAnswer.mVersion) > 0) {
+    PromoterLease lost;
+    lost.mRowVersion = MakeStoreVersion(EraOf(aAnswer.mVersion), 0);
+    ApplyLeaseRow(aContext, lost, aAnswer.mStoreTime);
   }
 }
 
@@ -226,10 +273,11 @@
     if (isHeld) {
       ReleaseLease(aContext);
     }
-  } else if (isHeld && HoldsPromoterLease(aContext)) {
+  } else if (isHeld && HoldsPromoterLease(aContext) &&
+             IsOfRowEra(promoter.mLease)) {
     RenewLease(aContext);
   } else if (aContext.mState.mReady && !IsFollower(aContext) &&
-             (isHeld || IsLeaseFree(aContext))) {
+             (HoldsPromoterLease(aContext) || IsLeaseFree(aContext))) {
     ClaimLease(aContext);
   }
 }
@@ -242,19 +290,18 @@
     return false;
   }
   promoter.mCall = CallId{};
-  if (aEvent.mOutcome == CallOutcome::Ok) {
+  const bool isOfWrittenEra =
+    EraOf(aEvent.mVersion) == EraOf(promoter.mWrittenLease.mRowVersion);
+  if (aEvent.mOutcome == CallOutcome::Ok && isOfWrittenEra) {
     NoteStoreTime(aContext, aEvent.mStoreTime);
     ApplyLeaseWrite(
       aContext, aEvent.mVersion, aEvent.mStoreTime, promoter.mCallSentAt);
     return true;
   }
-  Log(
-    aContext,
-    LogSeverity::Info,
-    "the promoter's lease was not written",
-    { { "outcome",
-        aEvent.mOutcome == CallOutcome::Conflict ? "another host wrote it first"
-                                                 : "not confirmed" } });
+  Log(aContext,
+      LogSeverity::Info,
+      "the promoter's lease was not written",
+      { { "outcome", std::string(DescribeFailure(aEvent.mOutcome)) } });
   // The row shows who holds the lease now.
   RereadTable(aContext, Table::Fleet);
   return true;
--- a/Tests/Gateway/LeaseTest.cpp
+++ b/Tests/Gateway/LeaseTest.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include "Follower.h"
 #include "Gateway/Context.h"
 #include "Group/Promoter.h"
@@ -30,7 +32,9 @@
   answer.mCall = table.mCall;
   answer.mTable = Table::Fleet;
   answer.mOutcome = CallOutcome::Ok;
-  answer.mVersion = ++aDriver.mStoreVersion;
+  answer.mVersion = std::max(++aDriver.mStoreVersion, aLease.mRowVersion);
+  // A host reads the whole table after the store has returned from a copy.
+  answer.mIsSnapshot = EraOf(answer.mVersion) > 0;
   answer.mStoreTime = aTime;
   answer.mLease = aLease;
   aDriver.Deliver(answer);
@@ -125,3 +129,107 @@
   driver.AdvanceTime(1s);
   CHECK(driver.Take<WriteLease>());
 }
+
+TEST_CASE("A lease row that the store has lost holds until its time is over",
+          "[Lease]")
+{
+  // A rival may have taken the lease after the copy was made.
+  GatewayDriver driver;
+  const std::uint64_t token = driver.mState.mPromoter.mLease.mToken;
+  driver.mState.mPromoter.mHeldUntil = Instant{};
+  const StoreVersion returned = MakeStoreVersion(1, 5);
+  SECTION("if the copy has it released")
+  {
+    DeliverLease(driver, { "", 0, token, returned }, 2000s);
+  }
+  SECTION("if the copy has it held by this host")
+  {
+    DeliverLease(
+      driver,
+      { "h1", driver.mState.mSelf.mEntry.mIncarnation, token, returned },
+      2000s);
+  }
+  SECTION("if the copy has it held by an earlier process of this host")
+  {
+    DeliverLease(driver, { "h1", 1, token, returned }, 2000s);
+  }
+  driver.mState.mPromoter.mHeldUntil = Instant{};
+  driver.mEffects.clear();
+  driver.AdvanceTime(kPromoterLeaseDuration - 100ms);
+  CHECK_FALSE(driver.Take<WriteLease>());
+  driver.AdvanceTime(1s);
+  const auto claim = driver.Take<WriteLease>();
+  REQUIRE(claim);
+  CHECK(claim->mLease.mRowVersion == returned);
+}
+
+TEST_CASE("A fencing token is not given out twice after the store lost it",
+          "[Lease]")
+{
+  Follower driver;
+  driver.mState.mTimers.Arm(TimerKind::PromoterLease, 0, driver.mNow);
+  driver.mState.mCatalogue.mHosts.erase("h2");
+  // The copy has the lease of token 3; tokens up to 9 were used since.
+  driver.mState.mPromoter = PromoterState{};
+  DeliverLease(driver, { "h2", 5, 3, MakeStoreVersion(1, 5) }, 2000s);
+  driver.mEffects.clear();
+  driver.AdvanceTime(kPromoterLeaseDuration + 1s);
+  const auto claim = driver.Take<WriteLease>();
+  REQUIRE(claim);
+  CHECK(claim->mLease.mToken > 9);
+}
+
+TEST_CASE("The holder of the lease writes it again when the store has lost it",
+          "[Lease]")
+{
+  GatewayDriver driver;
+  driver.mEffects.clear();
+  const PromoterLease held = driver.mState.mPromoter.mLease;
+  REQUIRE(HoldsLease(driver));
+  SECTION("if the copy has an earlier lease")
+  {
+    DeliverLease(driver, { "h2", 5, 0, MakeStoreVersion(1, 5) }, 2000s);
+    CHECK(HoldsLease(driver));
+    driver.AdvanceTime(300ms);
+    const auto claim = driver.Take<WriteLease>();
+    REQUIRE(claim);
+    CHECK(claim->mLease.mHolder == "h1");
+    CHECK(claim->mLease.mRowVersion == MakeStoreVersion(1, 5));
+    CHECK(claim->mLease.mToken > held.mToken);
+  }
+  SECTION("if the copy has none")
+  {
+    TableAnswer answer;
+    answer.mTable = Table::Fleet;
+    answer.mCall = driver.mState.mCatalogue.mTables.at(2).mCall =
+      gateway::CallId{ ++driver.mState.mLastId };
+    answer.mOutcome = CallOutcome::Ok;
+    answer.mIsSnapshot = true;
+    answer.mVersion = MakeStoreVersion(1, 5);
+    answer.mStoreTime = 2000s;
+    driver.Deliver(answer);
+    CHECK(HoldsLease(driver));
+    driver.AdvanceTime(300ms);
+    const auto claim = driver.Take<WriteLease>();
+    REQUIRE(claim);
+    CHECK(NumberOf(claim->mLease.mRowVersion) == 0);
+    CHECK(claim->mLease.mToken > held.mToken);
+  }
+}
+
+TEST_CASE("A write of the lease that the store did after its return holds "
+          "nothing",
+          "[Lease]")
+{
+  GatewayDriver driver;
+  driver.mEffects.clear();
+  std::optional<WriteLease> renewal;
+  while (!renewal) {
+    driver.AdvanceTime(10ms);
+    renewal = driver.Take<WriteLease>();
+  }
+  const Instant held = driver.mState.mPromoter.mHeldUntil;
+  driver.Deliver(
+    StoreWritten{ renewal->mCall, CallOutcome::Ok, MakeStoreVersion(1, 9) });
+  CHECK(driver.mState.mPromoter.mHeldUntil == held);
+}
