Catalogue: Keep a server leaving when an older entry returns

A server that is leaving ends, so within one start of it the entry cannot go back.

Test "A server that is leaving does not return to service by an older entry" failed before and passes.

--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -98,7 +98,10 @@
         "backend server is listed again",
         { { "server", aEntry.mName } });
   }
+  // A server that is leaving ends; an entry from before that is out of date.
+  const bool wasLeaving = aBackend.mEntry.mLeaving && !isRestart;
   aBackend.mEntry = aEntry;
+  aBackend.mEntry.mLeaving |= wasLeaving;
 }
 
 void
--- a/Tests/Gateway/TablesTest.cpp
+++ b/Tests/Gateway/TablesTest.cpp
@@ -188,3 +188,37 @@
   driver.AdvanceTime(10ms);
   CHECK(driver.Take<WriteHostEntry>());
 }
+
+TEST_CASE(
+  "A server that is leaving does not return to service by an older entry",
+  "[Tables]")
+{
+  GatewayDriver driver;
+  const auto list = [&driver](bool aLeaving, std::uint64_t aStartedAt) {
+    TableProgress& table = TableOf(driver, Table::Servers);
+    table.mCall = gateway::CallId{ ++driver.mState.mLastId };
+    TableAnswer answer;
+    answer.mCall = table.mCall;
+    answer.mTable = Table::Servers;
+    answer.mOutcome = CallOutcome::Ok;
+    answer.mVersion = ++driver.mStoreVersion;
+    ServerEntry entry = driver.mState.mBackends.at(IdOf<ServerId>("s2")).mEntry;
+    entry.mLeaving = aLeaving;
+    entry.mStartedAt = aStartedAt;
+    answer.mServers.push_back({ "s2", entry });
+    driver.Deliver(answer);
+  };
+  const auto isLeaving = [&driver] {
+    const Backend& backend = driver.mState.mBackends.at(IdOf<ServerId>("s2"));
+    return backend.mEntry.mLeaving && backend.mLeavingSince.has_value();
+  };
+  list(true, 1);
+  REQUIRE(isLeaving());
+  list(false, 1);
+  CHECK(isLeaving());
+  SECTION("but when it has started again")
+  {
+    list(false, 2);
+    CHECK_FALSE(isLeaving());
+  }
+}
