Catalogue: Write this host's entry again though no other entry changed

Found by looking for the same cause in own entries: a host looked for its entry only when some other entry had changed. One that was written and lost between two reads, as by a store that returns from an older copy, stayed away, and other hosts did not query the host.

Each answer about the hosts' table is now checked for the own entry.

Test "A host whose entry the store has lost writes it again" failed before and passes.

--- a/Source/Catalogue/Hosts.cpp
+++ b/Source/Catalogue/Hosts.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Has this host's entry written again if somebody has removed it, such as a
-/// late call of an earlier process.
+/// Has this host's entry written again if it is gone: removed by a late call of
+/// an earlier process, or lost by the store.
 void
 RestoreOwnEntry(Context& aContext, std::uint64_t aVersion)
 {
@@ -43,12 +43,10 @@
       next.erase(change.mKey);
     }
   }
-  if (next == hosts) {
-    return false;
-  }
+  const bool hasChanged = next != hosts;
   hosts = std::move(next);
   RestoreOwnEntry(aContext, aAnswer.mVersion);
-  return true;
+  return hasChanged;
 }
 
 }
--- a/Tests/Gateway/TablesTest.cpp
+++ b/Tests/Gateway/TablesTest.cpp
@@ -222,3 +222,23 @@
     CHECK_FALSE(isLeaving());
   }
 }
+
+TEST_CASE("A host whose entry the store has lost writes it again", "[Tables]")
+{
+  GatewayDriver driver;
+  // Other hosts' entries are as they were, and this host never saw its own.
+  driver.mState.mCatalogue.mHosts.clear();
+  REQUIRE(driver.mState.mCatalogue.mRegistered);
+  AnswerPolls(driver, CallOutcome::HistoryLost);
+  driver.AdvanceTime(10ms);
+  driver.mEffects.clear();
+  TableAnswer answer;
+  answer.mCall = TableOf(driver, Table::Fleet).mCall;
+  answer.mTable = Table::Fleet;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mIsSnapshot = true;
+  answer.mVersion = MakeStoreVersion(1, 5);
+  driver.Deliver(answer);
+  driver.AdvanceTime(10ms);
+  CHECK(driver.Take<WriteHostEntry>());
+}
