Catalogue: Wait before asking a store again that answers with older rows

An answer that is older than what the host has is now followed by the delay of a failed call.

Test "A store that answers with older rows is not asked again at once" failed before (a call each 10 ms) and passes.

--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -264,11 +264,12 @@
     ApplyStoredLease(aContext, *answer);
   }
   // Another host may have told of a later version meanwhile.
-  if (!progress.mKnown || answer->mVersion >= progress.mVersion) {
-    NoteConfirmed(
-      aContext, answer->mTable, answer->mVersion, progress.mCalledAt);
-    ApplyRows(aContext, *answer);
+  if (progress.mKnown && answer->mVersion < progress.mVersion) {
+    ArmPoll(aContext, answer->mTable, aContext.mNow + RetryDelay(progress));
+    return;
   }
+  NoteConfirmed(aContext, answer->mTable, answer->mVersion, progress.mCalledAt);
+  ApplyRows(aContext, *answer);
   ArmPoll(
     aContext, answer->mTable, NextPoll(aContext, answer->mTable, progress));
   UpdateReadiness(aContext);
--- a/Tests/Gateway/TablesTest.cpp
+++ b/Tests/Gateway/TablesTest.cpp
@@ -242,3 +242,25 @@
   driver.AdvanceTime(10ms);
   CHECK(driver.Take<WriteHostEntry>());
 }
+
+TEST_CASE("A store that answers with older rows is not asked again at once",
+          "[Tables]")
+{
+  GatewayDriver driver;
+  std::size_t calls = 0;
+  for (int n = 0; n < 100; ++n) {
+    const TableProgress& table = TableOf(driver, Table::Operator);
+    if (table.mCall) {
+      ++calls;
+      TableAnswer stale;
+      stale.mCall = table.mCall;
+      stale.mTable = Table::Operator;
+      stale.mOutcome = CallOutcome::Ok;
+      stale.mIsSnapshot = true;
+      stale.mVersion = table.mVersion - 1;
+      driver.Deliver(stale);
+    }
+    driver.AdvanceTime(10ms);
+  }
+  CHECK(calls <= 5);
+}
