--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -36,7 +36,14 @@
   EnumName<FaultKind>{ FaultKind::StoreIsSilent, "store is silent" },
   EnumName<FaultKind>{ FaultKind::StoreLosesAnswers, "store loses answers" },
   EnumName<FaultKind>{ FaultKind::Publish, "publish" },
+  EnumName<FaultKind>{ FaultKind::StoreReturns, "store returns from a copy" },
 };
+/// The kinds before StoreReturns, whose faults are drawn apart so that the
+/// others of a seed stay the same.
+constexpr std::size_t kDrawnKinds =
+  static_cast<std::size_t>(FaultKind::StoreReturns);
+constexpr std::uint64_t kReturnsSeed = 0x5eed;
+constexpr int kMeanReturnGapMs = 4'000;
 
 bool
 IsForGateway(FaultKind aKind)
@@ -59,6 +66,40 @@
   }
 }
 
+/// A random number below a bound.
+std::size_t
+Draw(std::mt19937_64& aRandom, std::size_t aBelow)
+{
+  return static_cast<std::size_t>(aRandom() % aBelow);
+}
+
+void
+AddStoreReturns(std::vector<Fault>& aSchedule,
+                std::uint64_t aSeed,
+                std::chrono::milliseconds aLength)
+{
+  std::mt19937_64 random(aSeed ^ kReturnsSeed);
+  std::chrono::milliseconds at{ 0 };
+  for (;;) {
+    at += std::chrono::milliseconds(Draw(random, 2 * kMeanReturnGapMs));
+    if (at >= aLength) {
+      break;
+    }
+    Fault fault;
+    fault.mAt = at;
+    fault.mKind = FaultKind::StoreReturns;
+    fault.mDuration = std::chrono::milliseconds(50 + Draw(random, kLongestMs));
+    // A copy is kept until the store returns from it.
+    at += fault.mDuration;
+    aSchedule.push_back(fault);
+  }
+  std::stable_sort(aSchedule.begin(),
+                   aSchedule.end(),
+                   [](const Fault& aFirst, const Fault& aSecond) {
+                     return aFirst.mAt < aSecond.mAt;
+                   });
+}
+
 void
 SetDelay(LinkRelay& aRelay, std::int64_t aMicros)
 {
@@ -90,22 +131,24 @@
 {
   std::mt19937_64 random(aSeed);
   const auto draw = [&random](std::size_t aBelow) {
-    return static_cast<std::size_t>(random() % aBelow);
+    return Draw(random, aBelow);
   };
   std::vector<Fault> schedule;
   std::chrono::milliseconds at{ 0 };
   for (;;) {
     at += std::chrono::milliseconds(draw(2 * kMeanGapMs));
     if (at >= aLength) {
-      return schedule;
+      break;
     }
     Fault fault;
     fault.mAt = at;
-    fault.mKind = kNames.at(draw(kNames.size())).mValue;
+    fault.mKind = kNames.at(draw(kDrawnKinds)).mValue;
     fault.mTarget = draw(IsForGateway(fault.mKind) ? aGateways : kServers);
     fault.mDuration = std::chrono::milliseconds(50 + draw(kLongestMs));
     schedule.push_back(fault);
   }
+  AddStoreReturns(schedule, aSeed, aLength);
+  return schedule;
 }
 
 Targets::Targets(std::uint16_t aSitePort, std::uint16_t aRelayPort)
@@ -176,6 +219,9 @@
     case FaultKind::Publish:
       Publish();
       break;
+    case FaultKind::StoreReturns:
+      mSite->Do([&] { mSite->Store().KeepCopy(); });
+      break;
     default:
       mSite->Do([&] { mSite->Store().SetFault(StoreFaultOf(aFault.mKind)); });
       break;
@@ -208,6 +254,10 @@
     case FaultKind::StoreLosesAnswers:
       mSite->Do([&] { mSite->Store().SetFault(standin::StoreFault::None); });
       break;
+    case FaultKind::StoreReturns:
+      mSite->Do([&] { mSite->Store().ReturnFromCopy(); });
+      WriteConfiguration();
+      break;
     default:
       break;
   }
@@ -217,6 +267,12 @@
 Targets::Publish()
 {
   ++mVersion;
+  WriteConfiguration();
+}
+
+void
+Targets::WriteConfiguration()
+{
   mSite->Publish(mVersion,
                  { "main", "near", "extra" + std::to_string(mVersion) });
 }
--- a/Tests/Soak/Faults.h
+++ b/Tests/Soak/Faults.h
@@ -33,6 +33,8 @@
   StoreIsSilent,
   StoreLosesAnswers,
   Publish,
+  /// The store loses what it acknowledged during the fault.
+  StoreReturns,
 };
 
 /// A fault of a schedule.
@@ -70,6 +72,8 @@
 
 private:
   void Publish();
+  /// Writes the configuration that was published last.
+  void WriteConfiguration();
 
   std::vector<std::unique_ptr<LinkSettings>> mLinks;
   /// Their threads run until the process ends.
