Catalogue: Send a host all rows when its own are of an earlier era

A report has rows only if they changed after the version that the asking host has, and a host took a report without rows as a confirmation of its own. When the store had returned from an older copy whose rows the source already had, its rows had not changed: a host that knew lost rows took the source's new version for them. It kept servers and hosts that the store had lost, and did not notice that its own entry was among them, until the table changed again.

A host whose rows are of an earlier era is now sent all rows, and a version of another era without rows confirms nothing. Hosts without eras take such versions as higher ones, as before.

Tests "A host whose rows are of an earlier era is sent all rows" and "A report without rows does not confirm rows of an earlier era" failed before (three checks) and pass. The format of StoreVersion.h is mended on the way.

--- a/Source/Catalogue/Peers.cpp
+++ b/Source/Catalogue/Peers.cpp
@@ -55,6 +55,15 @@
   return content;
 }
 
+/// Whether the rows have changed since a version that another host has. Rows
+/// of an earlier era may differ from these although these have not changed.
+bool
+HasNewerContent(const TableProgress& aProgress, StoreVersion aVersion)
+{
+  return aProgress.mContentVersion > aVersion ||
+         EraOf(aProgress.mVersion) > EraOf(aVersion);
+}
+
 /// The rows as a read of the whole table would have brought them.
 TableAnswer
 AsAnswer(const TableReport& aNews)
@@ -83,8 +92,11 @@
   const TableProgress& progress = ProgressOf(aContext, aNews.mTable);
   const bool isNewer = !progress.mKnown || aNews.mVersion > progress.mVersion;
   const bool appliesRows = aNews.mContent && isNewer;
-  if (!appliesRows &&
-      (!progress.mKnown || aNews.mVersion < progress.mVersion)) {
+  // Without rows, a version of another era does not confirm this host's rows.
+  const bool confirmsRows = progress.mKnown &&
+                            aNews.mVersion >= progress.mVersion &&
+                            EraOf(aNews.mVersion) == EraOf(progress.mVersion);
+  if (!appliesRows && !confirmsRows) {
     return;
   }
   NoteConfirmed(aContext,
@@ -112,7 +124,7 @@
     news.mTable = table;
     news.mVersion = progress.mVersion;
     news.mAge = aContext.mNow - progress.mConfirmedAt;
-    if (progress.mContentVersion > aQuery.mVersions.at(n)) {
+    if (HasNewerContent(progress, aQuery.mVersions.at(n))) {
       news.mContent = ContentOf(aContext, table);
     }
     tables.push_back(std::move(news));
@@ -125,7 +137,7 @@
 {
   for (std::size_t n = 0; n < kTableCount; ++n) {
     const TableProgress& progress = aContext.mState.mCatalogue.mTables.at(n);
-    if (progress.mKnown && progress.mContentVersion > aQuery.mVersions.at(n)) {
+    if (progress.mKnown && HasNewerContent(progress, aQuery.mVersions.at(n))) {
       return true;
     }
   }
--- a/Source/Gateway/StoreVersion.h
+++ b/Source/Gateway/StoreVersion.h
@@ -5,9 +5,9 @@
 namespace camphorstep::gateway {
 
 /// A version of the store's rows. The store gives numbers out again when it
-/// returns from an older copy; its era is the number of these returns. A version
-/// has the era in its upper bits and the number in its lower bits, so that all
-/// versions of an era come after those of the eras before it.
+/// returns from an older copy; its era is the number of these returns. A
+/// version has the era in its upper bits and the number in its lower bits, so
+/// that all versions of an era come after those of the eras before it.
 using StoreVersion = std::uint64_t;
 
 constexpr unsigned kVersionNumberBits = 40;
--- a/Tests/Gateway/TablesTest.cpp
+++ b/Tests/Gateway/TablesTest.cpp
@@ -40,6 +40,17 @@
   }
 }
 
+/// Returns an answer as one to a call for its table that is underway.
+TableAnswer
+AnswerTo(GatewayDriver& aDriver, TableAnswer aAnswer)
+{
+  TableProgress& table = TableOf(aDriver, aAnswer.mTable);
+  table.mCall = gateway::CallId{ ++aDriver.mState.mLastId };
+  aAnswer.mCall = table.mCall;
+  aAnswer.mOutcome = CallOutcome::Ok;
+  return aAnswer;
+}
+
 /// Advances time until a query is pending, and returns a report on it with a
 /// newer routing table of the given routing version.
 PeerReport
@@ -195,18 +206,14 @@
 {
   GatewayDriver driver;
   const auto list = [&driver](bool aLeaving, std::uint64_t aStartedAt) {
-    TableProgress& table = TableOf(driver, Table::Servers);
-    table.mCall = gateway::CallId{ ++driver.mState.mLastId };
     TableAnswer answer;
-    answer.mCall = table.mCall;
     answer.mTable = Table::Servers;
-    answer.mOutcome = CallOutcome::Ok;
     answer.mVersion = ++driver.mStoreVersion;
     ServerEntry entry = driver.mState.mBackends.at(IdOf<ServerId>("s2")).mEntry;
     entry.mLeaving = aLeaving;
     entry.mStartedAt = aStartedAt;
     answer.mServers.push_back({ "s2", entry });
-    driver.Deliver(answer);
+    driver.Deliver(AnswerTo(driver, answer));
   };
   const auto isLeaving = [&driver] {
     const Backend& backend = driver.mState.mBackends.at(IdOf<ServerId>("s2"));
@@ -264,3 +271,43 @@
   }
   CHECK(calls <= 5);
 }
+
+TEST_CASE("A host whose rows are of an earlier era is sent all rows",
+          "[Tables]")
+{
+  Follower driver;
+  driver.Follow(1s);
+  TableProgress& table = TableOf(driver, Table::Fleet);
+  // The store returned from an older copy that has the same rows as this host.
+  table.mVersion = MakeStoreVersion(1, 5);
+  table.mContentVersion = 4;
+  PeerQueryReceived asked{ PeerLinkId{ 4 }, {} };
+  asked.mQuery.mHost = "h3";
+  asked.mQuery.mMaxWait = 300ms;
+  for (std::size_t n = 0; n < kTableCount; ++n) {
+    asked.mQuery.mVersions.at(n) =
+      driver.mState.mCatalogue.mTables.at(n).mVersion;
+  }
+  // Its row of version 8 is lost.
+  asked.mQuery.mVersions.at(static_cast<std::size_t>(Table::Fleet)) = 9;
+  driver.Deliver(asked);
+  const auto answer = driver.Take<SendPeerReport>();
+  REQUIRE(answer);
+  CHECK(answer->mReport.mTables.at(2).mContent);
+}
+
+TEST_CASE("A report without rows does not confirm rows of an earlier era",
+          "[Tables]")
+{
+  Follower driver;
+  driver.Follow(1s);
+  const TableProgress before = TableOf(driver, Table::Operator);
+  while (!driver.mQuery) {
+    driver.Follow(10ms);
+  }
+  PeerReport report = driver.MakeReport(*driver.mQuery, 50ms);
+  report.mTables.at(0).mVersion = MakeStoreVersion(1, before.mVersion);
+  driver.Deliver(report);
+  CHECK(TableOf(driver, Table::Operator).mVersion == before.mVersion);
+  CHECK(TableOf(driver, Table::Operator).mConfirmedAt == before.mConfirmedAt);
+}
