Catalogue: Keep a server's last start when an entry of an earlier one returns

An entry whose time of start differs from the known one counted as a restart. When the store returned from a copy made before a restart, all connections to the running server were closed, and a server that was known to be leaving took new work again, until it had written its entry once more.

An entry of an earlier start now counts as a missing one: nothing changes for the grace time that lost entries have. If no later entry comes within it, the server's clock had gone back at its last start, and the entry is used.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -61,8 +61,11 @@
   ServerId mId;
   GroupId mGroup;
   ServerEntry mEntry;
-  /// Since when the store has no entry for the server.
+  /// Since when the store has no entry for the server, or one of an earlier
+  /// start only.
   std::optional<Instant> mMissingSince;
+  /// That earlier entry.
+  std::optional<ServerEntry> mOlderEntry;
   /// Since when the server is known to be leaving.
   std::optional<Instant> mLeavingSince;
 
--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -93,6 +93,7 @@
   }
   if (aBackend.mMissingSince) {
     aBackend.mMissingSince.reset();
+    aBackend.mOlderEntry.reset();
     Log(aContext,
         LogSeverity::Info,
         "backend server is listed again",
@@ -122,37 +123,58 @@
   }
 }
 
-/// Returns whether the entry says anything new.
+/// Whether an entry is of an earlier start of the server than the known one.
+/// One without a time of start is not.
 bool
-ApplyEntry(Context& aContext, const ServerEntry& aEntry)
+IsOfEarlierStart(const Backend& aBackend, const ServerEntry& aEntry)
 {
-  const ServerId id = IdOf<ServerId>(aEntry.mName);
-  if (Backend* const backend = Find(aContext.mState.mBackends, id)) {
-    if (backend->mEntry == aEntry && !backend->mMissingSince) {
-      return false;
-    }
-    UpdateServer(aContext, *backend, aEntry);
-  } else {
-    AddServer(aContext, aEntry);
-  }
-  NoteLeaving(aContext, aContext.mState.mBackends.at(id));
-  return true;
+  return aEntry.mStartedAt != 0 &&
+         aEntry.mStartedAt < aBackend.mEntry.mStartedAt;
 }
 
-/// Returns whether the server was listed before.
+/// Returns whether the server was listed before. The store may have an entry of
+/// an earlier start.
 bool
-NoteMissing(Context& aContext, const std::string& aName)
+NoteMissing(Context& aContext,
+            const std::string& aName,
+            const std::optional<ServerEntry>& aOlderEntry)
 {
   Backend* const backend =
     Find(aContext.mState.mBackends, IdOf<ServerId>(aName));
-  if (backend == nullptr || backend->mMissingSince) {
+  if (backend == nullptr) {
+    return false;
+  }
+  backend->mOlderEntry = aOlderEntry;
+  if (backend->mMissingSince) {
     return false;
   }
   backend->mMissingSince = aContext.mNow;
   Log(aContext,
       LogSeverity::Info,
       "backend server is no longer listed",
-      { { "server", aName } });
+      { { "server", aName }, { "older_entry", aOlderEntry ? "yes" : "no" } });
+  return true;
+}
+
+/// Returns whether the entry says anything new.
+bool
+ApplyEntry(Context& aContext, const ServerEntry& aEntry)
+{
+  const ServerId id = IdOf<ServerId>(aEntry.mName);
+  if (Backend* const backend = Find(aContext.mState.mBackends, id)) {
+    if (IsOfEarlierStart(*backend, aEntry)) {
+      // The store may have returned from an older copy; the server is going to
+      // write its entry again.
+      return NoteMissing(aContext, aEntry.mName, aEntry);
+    }
+    if (backend->mEntry == aEntry && !backend->mMissingSince) {
+      return false;
+    }
+    UpdateServer(aContext, *backend, aEntry);
+  } else {
+    AddServer(aContext, aEntry);
+  }
+  NoteLeaving(aContext, aContext.mState.mBackends.at(id));
   return true;
 }
 
@@ -188,7 +210,7 @@
       listed.insert(change.mKey);
       hasChanged |= ApplyEntry(aContext, *change.mEntry);
     } else {
-      hasChanged |= NoteMissing(aContext, change.mKey);
+      hasChanged |= NoteMissing(aContext, change.mKey, std::nullopt);
     }
   }
   if (aAnswer.mIsSnapshot) {
@@ -199,7 +221,7 @@
       }
     }
     for (const std::string& name : missing) {
-      hasChanged |= NoteMissing(aContext, name);
+      hasChanged |= NoteMissing(aContext, name, std::nullopt);
     }
   }
   RemoveMissingServers(aContext);
@@ -227,7 +249,13 @@
     }
   }
   for (const ServerId id : gone) {
+    const std::optional<ServerEntry> older =
+      aContext.mState.mBackends.at(id).mOlderEntry;
     RemoveServer(aContext, id);
+    if (older) {
+      // The server's clock had gone back at its last start.
+      ApplyEntry(aContext, *older);
+    }
   }
 }
 
--- a/Tests/Gateway/TablesTest.cpp
+++ b/Tests/Gateway/TablesTest.cpp
@@ -311,3 +311,46 @@
   CHECK(TableOf(driver, Table::Operator).mVersion == before.mVersion);
   CHECK(TableOf(driver, Table::Operator).mConfirmedAt == before.mConfirmedAt);
 }
+
+TEST_CASE("An older entry does not undo a server's restart", "[Tables]")
+{
+  GatewayDriver driver;
+  const ServerId id = IdOf<ServerId>("s2");
+  const auto list = [&driver, id](bool aLeaving, std::uint64_t aStartedAt) {
+    ServerEntry entry = driver.mState.mBackends.at(id).mEntry;
+    entry.mLeaving = aLeaving;
+    entry.mStartedAt = aStartedAt;
+    TableAnswer answer;
+    answer.mTable = Table::Servers;
+    answer.mVersion = ++driver.mStoreVersion;
+    answer.mServers.push_back({ "s2", entry });
+    driver.Deliver(AnswerTo(driver, answer));
+  };
+  list(false, 2);
+  list(true, 2);
+  driver.Settle();
+  const std::size_t links = driver.mState.mLinks.size();
+  list(false, 1);
+  const Backend& backend = driver.mState.mBackends.at(id);
+  CHECK(backend.mEntry.mStartedAt == 2);
+  CHECK(backend.mEntry.mLeaving);
+  CHECK(backend.mLeavingSince);
+  CHECK(driver.mState.mLinks.size() == links);
+  SECTION("when the server writes its entry again")
+  {
+    list(true, 2);
+    driver.Run(kMissingEntryGrace + 1s);
+    CHECK(driver.mState.mBackends.at(id).mEntry.mLeaving);
+  }
+  SECTION("unless no later one comes")
+  {
+    driver.Run(kMissingEntryGrace + 1s);
+    TableAnswer nothingNew;
+    nothingNew.mTable = Table::Servers;
+    nothingNew.mVersion = driver.mStoreVersion;
+    driver.Deliver(AnswerTo(driver, nothingNew));
+    REQUIRE(driver.mState.mBackends.contains(id));
+    CHECK(driver.mState.mBackends.at(id).mEntry.mStartedAt == 1);
+    CHECK_FALSE(driver.mState.mBackends.at(id).mEntry.mLeaving);
+  }
+}
