Catalogue: Count a store as answering only when it has answered since the failure

A report of another host that confirmed a table as of before the failed call ended the failure, so the delay between calls did not grow, and the log stated what was not so.

A failure now ends by a confirmation that is younger than the failed call.

Test "A store that fails counts as failing until it has answered a host" failed before (one check) and passes.

--- a/Source/Catalogue/CatalogueState.h
+++ b/Source/Catalogue/CatalogueState.h
@@ -27,8 +27,9 @@
   Instant mCalledAt;
   /// The pages of a whole read that have come so far.
   std::optional<TableAnswer> mPages;
-  /// Calls in a row that have failed.
+  /// Calls in a row that have failed, and when the last of them was made.
   std::uint32_t mFailures = 0;
+  Instant mFailedCallAt;
   /// Whether the next call reads all rows.
   bool mReread = false;
 };
--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -86,6 +86,7 @@
 void
 NoteUnreachable(Context& aContext, Table aTable, TableProgress& aProgress)
 {
+  aProgress.mFailedCallAt = aProgress.mCalledAt;
   if (++aProgress.mFailures > 1) {
     return;
   }
@@ -313,7 +314,11 @@
 {
   TableProgress& progress = ProgressOf(aContext, aTable);
   const bool wasUnavailable = WasUnavailable(progress, aTable, aAt);
-  if (progress.mFailures > 0) {
+  // Another host may report what it learned before this host's call failed.
+  const bool answersAgain =
+    progress.mFailures > 0 && aAt >= progress.mFailedCallAt;
+  if (answersAgain) {
+    progress.mFailures = 0;
     Log(aContext,
         LogSeverity::Info,
         "the platform's store answers again",
@@ -323,7 +328,6 @@
   if (wasUnavailable && aTable == Table::Servers) {
     RestartMissingGrace(aContext);
   }
-  progress.mFailures = 0;
   progress.mVersion = std::max(progress.mVersion, aVersion);
   progress.mConfirmedAt = std::max(progress.mConfirmedAt, aAt);
 }
--- a/Tests/Gateway/TablesTest.cpp
+++ b/Tests/Gateway/TablesTest.cpp
@@ -40,6 +40,15 @@
   }
 }
 
+/// Has the next call for a table made now.
+void
+RequestPoll(GatewayDriver& aDriver, Table aTable)
+{
+  TableProgress& table = TableOf(aDriver, aTable);
+  table.mCall = gateway::CallId{ ++aDriver.mState.mLastId };
+  table.mCalledAt = aDriver.mNow;
+}
+
 /// Returns an answer as one to a call for its table that is underway.
 TableAnswer
 AnswerTo(GatewayDriver& aDriver, TableAnswer aAnswer)
@@ -354,3 +363,31 @@
     CHECK_FALSE(driver.mState.mBackends.at(id).mEntry.mLeaving);
   }
 }
+
+TEST_CASE("A store that fails counts as failing until it has answered a host",
+          "[Tables]")
+{
+  Follower driver;
+  driver.Follow(1s);
+  const auto deliverReport = [&driver](Duration aAge) {
+    while (!driver.mQuery) {
+      driver.Follow(10ms);
+    }
+    PeerReport report = driver.MakeReport(*driver.mQuery, 50ms);
+    driver.mQuery.reset();
+    for (TableReport& table : report.mTables) {
+      table.mAge = aAge;
+    }
+    driver.Deliver(report);
+  };
+  AnswerPolls(driver, CallOutcome::Ok);
+  driver.Run(100ms);
+  TableProgress& table = TableOf(driver, Table::Operator);
+  RequestPoll(driver, Table::Operator);
+  AnswerPolls(driver, CallOutcome::Unknown);
+  REQUIRE(table.mFailures == 1);
+  deliverReport(2s);
+  CHECK(table.mFailures == 1);
+  deliverReport(Duration{ 0 });
+  CHECK(table.mFailures == 0);
+}
