Group: Keep a primary that answers again before a promotion is requested

A takeover for silence is now dropped when a primary of the old term answers, as long as no promotion can have been requested: this promoter has requested none, and since it took the lease it has found two servers of the group not paused, which an earlier promoter's fence excludes.

Tests "A primary that answers again before its replicas are paused is kept" (two sections) and "A primary that returns under another name is kept" failed before (twelve checks) and pass; "A primary that returns after a promotion was requested is replaced" guards the other side.

--- a/Source/Catalogue/CatalogueState.h
+++ b/Source/Catalogue/CatalogueState.h
@@ -71,6 +71,10 @@
   /// Until when this host may promote; in the past if it does not hold the
   /// lease.
   Instant mHeldUntil;
+  /// The token with which this host last took the lease from another one, and
+  /// when it learned of that. No other host has held the lease since.
+  std::uint64_t mFirstToken = 0;
+  Instant mHeldSince;
 };
 
 }
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -91,6 +91,10 @@
   /// Sessions whose statement waits for a confirmed primary.
   std::set<SessionId> mHeld;
   Takeover mTakeover;
+  /// The first fencing token of the time in which this host, as the promoter,
+  /// found two servers not paused. Then no earlier promoter has requested a
+  /// promotion.
+  std::optional<std::uint64_t> mUnfencedToken;
 };
 
 }
--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -150,6 +150,10 @@
   PromoterState& promoter = aContext.mState.mPromoter;
   promoter.mSeenAt = aStoreTime;
   const bool isNew = promoter.mLease.mToken != promoter.mWrittenLease.mToken;
+  // Each claim uses the next token, so nobody has held the lease in between.
+  const bool isNext =
+    IsOwnLease(aContext, promoter.mLease) &&
+    promoter.mLease.mToken + 1 == promoter.mWrittenLease.mToken;
   promoter.mLease = promoter.mWrittenLease;
   promoter.mLease.mRowVersion = aRowVersion;
   promoter.mIsKnown = true;
@@ -157,6 +161,10 @@
     return;
   }
   promoter.mHeldUntil = aSentAt + kPromoterLeaseDuration - kPromoterLeaseMargin;
+  if (isNew && !isNext) {
+    promoter.mFirstToken = promoter.mLease.mToken;
+    promoter.mHeldSince = aContext.mNow;
+  }
   if (isNew) {
     Log(aContext,
         LogSeverity::Info,
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -107,6 +107,24 @@
   return TakeoverReason::NoPrimary;
 }
 
+/// Notes whether a promotion can have been requested: before that, all servers
+/// but one have to be paused.
+void
+NoteUnfenced(const Context& aContext, Group& aGroup)
+{
+  const PromoterState& promoter = aContext.mState.mPromoter;
+  const auto unpaused = std::count_if(
+    aGroup.mServers.begin(), aGroup.mServers.end(), [&](ServerId aId) {
+      const Backend* const backend = Find(aContext.mState.mBackends, aId);
+      return backend != nullptr && HasRecentStatus(aContext, *backend) &&
+             backend->mStatusAskedAt > promoter.mHeldSince &&
+             backend->mStatus->mPauseTerm == 0;
+    });
+  if (unpaused >= 2) {
+    aGroup.mUnfencedToken = promoter.mFirstToken;
+  }
+}
+
 void
 SetPhase(Context& aContext, Group& aGroup, TakeoverPhase aPhase)
 {
@@ -144,6 +162,7 @@
 RequestPromotion(Context& aContext, Group& aGroup, const Backend& aCandidate)
 {
   Takeover& takeover = aGroup.mTakeover;
+  aGroup.mUnfencedToken.reset();
   takeover.mCandidate = aCandidate.mId;
   takeover.mCall = NewId<CallId>(aContext);
   const PromoterLease& lease = aContext.mState.mPromoter.mLease;
@@ -165,9 +184,45 @@
   SetPhase(aContext, aGroup, TakeoverPhase::Promoting);
 }
 
+/// Whether a primary that was silent has answered since the takeover started,
+/// possibly as a server with another name, and can go on: it has not stepped
+/// down, and neither this promoter nor an earlier one has requested a
+/// promotion.
+bool
+HasPrimaryReturned(const Context& aContext, const Group& aGroup)
+{
+  const Takeover& takeover = aGroup.mTakeover;
+  const Backend* const primary =
+    Find(aContext.mState.mBackends, aGroup.mPrimary);
+  const bool isUnfenced =
+    aGroup.mUnfencedToken == aContext.mState.mPromoter.mFirstToken;
+  return takeover.mReason == TakeoverReason::Silent && isUnfenced &&
+         primary != nullptr && aGroup.mTerm == takeover.mOldTerm &&
+         primary->mLastReceivedAt >= takeover.mStartedAt;
+}
+
+/// Leaves the primary in place. A replica that was paused is resumed later, as
+/// after any interrupted takeover.
+void
+DropTakeover(Context& aContext, Group& aGroup)
+{
+  Log(aContext,
+      LogSeverity::Info,
+      "primary has answered and is kept",
+      { { "group", aGroup.mName },
+        { "term", std::to_string(aGroup.mTerm) },
+        { "after_ms",
+          Milliseconds(aContext.mNow - aGroup.mTakeover.mStartedAt) } });
+  aGroup.mTakeover = Takeover{};
+}
+
 void
 AdvanceFencing(Context& aContext, Group& aGroup)
 {
+  if (HasPrimaryReturned(aContext, aGroup)) {
+    DropTakeover(aContext, aGroup);
+    return;
+  }
   ContinueFencing(aContext, aGroup);
   if (!IsFenced(aContext, aGroup, aGroup.mTakeover.mStartedAt)) {
     return;
@@ -261,6 +316,7 @@
   }
   switch (takeover.mPhase) {
     case TakeoverPhase::None:
+      NoteUnfenced(aContext, aGroup);
       if (const auto reason = ReasonToReplace(aContext, aGroup)) {
         StartTakeover(aContext, aGroup, *reason);
       } else {
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -22,6 +22,31 @@
   return std::nullopt;
 }
 
+/// Replaces a server by one with another name at its address, which has its
+/// state and is listed after it.
+void
+RestartUnderOtherName(GatewayDriver& aDriver,
+                      const std::string& aName,
+                      const std::string& aNewName)
+{
+  aDriver.mServers.push_back(aDriver.Server(aName));
+  aDriver.mServers.back().mName = aNewName;
+  aDriver.mServers.back().mDown = false;
+  aDriver.Server(aName).mDown = true;
+  ServerEntry entry = aDriver.mState.mBackends.at(IdOf<ServerId>(aName)).mEntry;
+  entry.mName = aNewName;
+  ++entry.mStartedAt;
+  TableProgress& table = aDriver.mState.mCatalogue.mTables.at(1);
+  table.mCall = gateway::CallId{ ++aDriver.mState.mLastId };
+  TableAnswer answer;
+  answer.mCall = table.mCall;
+  answer.mTable = Table::Servers;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mVersion = ++aDriver.mStoreVersion;
+  answer.mServers.push_back({ aNewName, entry });
+  aDriver.Deliver(answer);
+}
+
 }
 
 TEST_CASE(
@@ -218,3 +243,78 @@
     CHECK(RunUntilPromotion(driver, 4s));
   }
 }
+
+TEST_CASE("A primary that answers again before its replicas are paused is kept",
+          "[Takeover]")
+{
+  GatewayDriver driver;
+  const Group& group = driver.mState.mGroups.begin()->second;
+  SECTION("when all servers were silent")
+  {
+    for (GatewayDriver::FakeServer& server : driver.mServers) {
+      server.mDown = true;
+    }
+  }
+  SECTION("when one replica does not return")
+  {
+    driver.Server("s2").mDown = true;
+    driver.Run(3s);
+    driver.Server("s1").mDown = true;
+    driver.Server("s3").mDown = true;
+  }
+  driver.Run(kPrimarySilenceTimeout + 200ms);
+  REQUIRE(group.mTakeover.mPhase == TakeoverPhase::Fencing);
+  driver.Server("s1").mDown = false;
+  driver.Server("s3").mDown = false;
+  CHECK_FALSE(RunUntilPromotion(driver, 5s));
+  CHECK(group.mTakeover.mPhase == TakeoverPhase::None);
+  CHECK(driver.Server("s1").mPrimary);
+  CHECK(driver.Server("s2").mPauseTerm == 0);
+  CHECK(driver.Server("s3").mPauseTerm == 0);
+}
+
+TEST_CASE("A primary that returns after a promotion was requested is replaced",
+          "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  SECTION("by this promoter")
+  {
+    const auto promotion = RunUntilPromotion(driver, 4s);
+    REQUIRE(promotion);
+    // The order may still be carried out.
+    driver.Deliver(PromoteAnswered{ promotion->mCall, CallOutcome::Conflict });
+  }
+  SECTION("by an earlier one")
+  {
+    driver.Server("s2").mDown = true;
+    driver.Server("s3").mPauseTerm = 1;
+    driver.mState.mPromoter.mFirstToken =
+      ++driver.mState.mPromoter.mLease.mToken;
+    driver.mState.mPromoter.mHeldSince = driver.mNow;
+    driver.Run(kPrimarySilenceTimeout + 200ms);
+    REQUIRE(driver.mState.mGroups.begin()->second.mTakeover.mPhase !=
+            TakeoverPhase::None);
+  }
+  driver.Server("s1").mDown = false;
+  driver.Run(300ms);
+  CHECK_FALSE(driver.Server("s1").mPrimary);
+  CHECK(RunUntilPromotion(driver, 4s));
+}
+
+TEST_CASE("A primary that returns under another name is kept", "[Takeover]")
+{
+  GatewayDriver driver;
+  // Without it nobody can be promoted.
+  driver.Server("s2").mDown = true;
+  driver.Server("s1").mDown = true;
+  driver.Run(kPrimarySilenceTimeout + 1s);
+  const Group& group = driver.mState.mGroups.begin()->second;
+  REQUIRE(group.mTakeover.mPhase == TakeoverPhase::Fencing);
+  RestartUnderOtherName(driver, "s1", "s4");
+  driver.Run(1s);
+  CHECK(driver.Server("s4").mPrimary);
+  CHECK(group.mPrimary == IdOf<ServerId>("s4"));
+  CHECK(group.mTakeover.mPhase == TakeoverPhase::None);
+  CHECK(driver.Server("s3").mPauseTerm == 0);
+}
