Catalogue: Count a server that restarted under another name once

A crashed server had been listed under another name at its address while its former entry had not been removed, so the group counted four copies of its data for good; a takeover then needs three paused servers, and one of the three was away.

A server of the same group that was started at the same address later replaces the former one at once, and the former entry is hidden as long as the later one is listed. When a server that hides an entry is removed, the table is read again; the entry of an earlier start of the same name is now handled in the same way.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -64,8 +64,9 @@
   /// Since when the store has no entry for the server, or one of an earlier
   /// start only.
   std::optional<Instant> mMissingSince;
-  /// That earlier entry.
-  std::optional<ServerEntry> mOlderEntry;
+  /// Whether the store has an entry of an earlier start, of this server or of
+  /// one at its address, that is not used because of this one.
+  bool mHidesEntry = false;
   /// Since when the server is known to be leaving.
   std::optional<Instant> mLeavingSince;
 
--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "Backend/Pool.h"
+#include "Catalogue/Tables.h"
 #include "Gateway/Tuning.h"
 #include "Session/Execution.h"
 #include "Session/Outcomes.h"
@@ -38,6 +39,40 @@
   }
 }
 
+/// Whether another server of the same group has been started at a server's
+/// address since, so that this one has ended.
+bool
+IsReplacedBy(const ServerEntry& aEntry, const ServerEntry& aOther)
+{
+  return aOther.mName != aEntry.mName && aOther.mGroup == aEntry.mGroup &&
+         aOther.mAddress == aEntry.mAddress &&
+         aOther.mStartedAt > aEntry.mStartedAt;
+}
+
+/// The servers of an entry's group that are known.
+std::vector<ServerId>
+ServersOfGroup(const Context& aContext, const ServerEntry& aEntry)
+{
+  const Group* const group =
+    Find(aContext.mState.mGroups, IdOf<GroupId>(aEntry.mGroup));
+  return group == nullptr ? std::vector<ServerId>{} : group->mServers;
+}
+
+/// Whether a listed server has been started at an entry's address since. The
+/// entry may outlast its server, or come back with an older copy of the store.
+bool
+IsReplaced(Context& aContext, const ServerEntry& aEntry)
+{
+  for (const ServerId id : ServersOfGroup(aContext, aEntry)) {
+    Backend& backend = aContext.mState.mBackends.at(id);
+    if (!backend.mMissingSince && IsReplacedBy(aEntry, backend.mEntry)) {
+      backend.mHidesEntry = true;
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 AddServer(Context& aContext, const ServerEntry& aEntry)
 {
@@ -93,7 +128,7 @@
   }
   if (aBackend.mMissingSince) {
     aBackend.mMissingSince.reset();
-    aBackend.mOlderEntry.reset();
+    aBackend.mHidesEntry = false;
     Log(aContext,
         LogSeverity::Info,
         "backend server is listed again",
@@ -132,30 +167,57 @@
          aEntry.mStartedAt < aBackend.mEntry.mStartedAt;
 }
 
-/// Returns whether the server was listed before. The store may have an entry of
-/// an earlier start.
+/// Returns whether the server was listed before.
 bool
-NoteMissing(Context& aContext,
-            const std::string& aName,
-            const std::optional<ServerEntry>& aOlderEntry)
+NoteMissing(Context& aContext, const std::string& aName)
 {
   Backend* const backend =
     Find(aContext.mState.mBackends, IdOf<ServerId>(aName));
-  if (backend == nullptr) {
-    return false;
-  }
-  backend->mOlderEntry = aOlderEntry;
-  if (backend->mMissingSince) {
+  if (backend == nullptr || backend->mMissingSince) {
     return false;
   }
   backend->mMissingSince = aContext.mNow;
   Log(aContext,
       LogSeverity::Info,
       "backend server is no longer listed",
-      { { "server", aName }, { "older_entry", aOlderEntry ? "yes" : "no" } });
+      { { "server", aName },
+        { "older_entry", backend->mHidesEntry ? "yes" : "no" } });
   return true;
 }
 
+void
+RemoveServer(Context& aContext, ServerId aServer)
+{
+  Backend& backend = aContext.mState.mBackends.at(aServer);
+  Log(aContext,
+      LogSeverity::Info,
+      "backend server is removed",
+      { { "server", backend.mEntry.mName } });
+  if (Group* const group = Find(aContext.mState.mGroups, backend.mGroup)) {
+    std::erase(group->mServers, aServer);
+    if (group->mPrimary == aServer) {
+      group->mPrimary = ServerId{};
+    }
+  }
+  CloseAllLinks(aContext, backend);
+  RerouteQueue(aContext, backend);
+  aContext.mState.mTimers.Cancel(TimerKind::Pool, aServer.mValue);
+  aContext.mState.mBackends.erase(aServer);
+}
+
+/// Removes the servers that have ended because one was started at their
+/// address. Together with it they would count as two copies of the data, and a
+/// takeover would wait for the one that is gone.
+void
+RemoveReplacedServers(Context& aContext, const ServerEntry& aEntry)
+{
+  for (const ServerId id : ServersOfGroup(aContext, aEntry)) {
+    if (IsReplacedBy(aContext.mState.mBackends.at(id).mEntry, aEntry)) {
+      RemoveServer(aContext, id);
+    }
+  }
+}
+
 /// Returns whether the entry says anything new.
 bool
 ApplyEntry(Context& aContext, const ServerEntry& aEntry)
@@ -165,39 +227,23 @@
     if (IsOfEarlierStart(*backend, aEntry)) {
       // The store may have returned from an older copy; the server is going to
       // write its entry again.
-      return NoteMissing(aContext, aEntry.mName, aEntry);
+      backend->mHidesEntry = true;
+      return NoteMissing(aContext, aEntry.mName);
     }
     if (backend->mEntry == aEntry && !backend->mMissingSince) {
       return false;
     }
     UpdateServer(aContext, *backend, aEntry);
+  } else if (IsReplaced(aContext, aEntry)) {
+    return false;
   } else {
+    RemoveReplacedServers(aContext, aEntry);
     AddServer(aContext, aEntry);
   }
   NoteLeaving(aContext, aContext.mState.mBackends.at(id));
   return true;
 }
 
-void
-RemoveServer(Context& aContext, ServerId aServer)
-{
-  Backend& backend = aContext.mState.mBackends.at(aServer);
-  Log(aContext,
-      LogSeverity::Info,
-      "backend server is removed",
-      { { "server", backend.mEntry.mName } });
-  if (Group* const group = Find(aContext.mState.mGroups, backend.mGroup)) {
-    std::erase(group->mServers, aServer);
-    if (group->mPrimary == aServer) {
-      group->mPrimary = ServerId{};
-    }
-  }
-  CloseAllLinks(aContext, backend);
-  RerouteQueue(aContext, backend);
-  aContext.mState.mTimers.Cancel(TimerKind::Pool, aServer.mValue);
-  aContext.mState.mBackends.erase(aServer);
-}
-
 }
 
 bool
@@ -210,7 +256,7 @@
       listed.insert(change.mKey);
       hasChanged |= ApplyEntry(aContext, *change.mEntry);
     } else {
-      hasChanged |= NoteMissing(aContext, change.mKey, std::nullopt);
+      hasChanged |= NoteMissing(aContext, change.mKey);
     }
   }
   if (aAnswer.mIsSnapshot) {
@@ -221,7 +267,7 @@
       }
     }
     for (const std::string& name : missing) {
-      hasChanged |= NoteMissing(aContext, name, std::nullopt);
+      hasChanged |= NoteMissing(aContext, name);
     }
   }
   RemoveMissingServers(aContext);
@@ -249,13 +295,12 @@
     }
   }
   for (const ServerId id : gone) {
-    const std::optional<ServerEntry> older =
-      aContext.mState.mBackends.at(id).mOlderEntry;
-    RemoveServer(aContext, id);
-    if (older) {
-      // The server's clock had gone back at its last start.
-      ApplyEntry(aContext, *older);
+    // If a server's clock had gone back before its last start, the hidden entry
+    // is the one to use.
+    if (aContext.mState.mBackends.at(id).mHidesEntry) {
+      RereadTable(aContext, Table::Servers);
     }
+    RemoveServer(aContext, id);
   }
 }
 
--- a/Tests/Gateway/TablesTest.cpp
+++ b/Tests/Gateway/TablesTest.cpp
@@ -325,8 +325,9 @@
 {
   GatewayDriver driver;
   const ServerId id = IdOf<ServerId>("s2");
-  const auto list = [&driver, id](bool aLeaving, std::uint64_t aStartedAt) {
-    ServerEntry entry = driver.mState.mBackends.at(id).mEntry;
+  const ServerEntry original = driver.mState.mBackends.at(id).mEntry;
+  const auto list = [&](bool aLeaving, std::uint64_t aStartedAt) {
+    ServerEntry entry = original;
     entry.mLeaving = aLeaving;
     entry.mStartedAt = aStartedAt;
     TableAnswer answer;
@@ -358,6 +359,9 @@
     nothingNew.mTable = Table::Servers;
     nothingNew.mVersion = driver.mStoreVersion;
     driver.Deliver(AnswerTo(driver, nothingNew));
+    REQUIRE_FALSE(driver.mState.mBackends.contains(id));
+    CHECK(TableOf(driver, Table::Servers).mReread);
+    list(false, 1);
     REQUIRE(driver.mState.mBackends.contains(id));
     CHECK(driver.mState.mBackends.at(id).mEntry.mStartedAt == 1);
     CHECK_FALSE(driver.mState.mBackends.at(id).mEntry.mLeaving);
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -318,3 +318,15 @@
   CHECK(group.mTakeover.mPhase == TakeoverPhase::None);
   CHECK(driver.Server("s3").mPauseTerm == 0);
 }
+
+TEST_CASE("A server that restarted under another name counts once",
+          "[Takeover]")
+{
+  GatewayDriver driver;
+  RestartUnderOtherName(driver, "s2", "s4");
+  driver.Run(1s);
+  const Group& group = driver.mState.mGroups.begin()->second;
+  CHECK(group.mServers.size() == 3);
+  driver.Server("s1").mDown = true;
+  CHECK(RunUntilPromotion(driver, 4s));
+}
