Group: Split the sampling of servers from the evidence for a primary

Status requests, the control connection and the rounds of sampling are now in Group/Sampling; Evidence keeps what statuses prove.

--- a/Source/Backend/Links.cpp
+++ b/Source/Backend/Links.cpp
@@ -5,7 +5,7 @@
 #include "Backend/Admission.h"
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
-#include "Group/Evidence.h"
+#include "Group/Sampling.h"
 #include "Session/Execution.h"
 #include "Session/Outcomes.h"
 
--- a/Source/Group/Fencing.cpp
+++ b/Source/Group/Fencing.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "Gateway/Tuning.h"
-#include "Group/Evidence.h"
+#include "Group/Sampling.h"
 
 namespace camphorstep::gateway {
 
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -6,9 +6,9 @@
 #include "Common/NamedEnum.h"
 #include "Fleet/Silence.h"
 #include "Gateway/Tuning.h"
-#include "Group/Evidence.h"
 #include "Group/Fencing.h"
 #include "Group/Promoter.h"
+#include "Group/Sampling.h"
 
 namespace camphorstep::gateway {
 
--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -6,6 +6,7 @@
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
+#include "Group/Sampling.h"
 
 namespace camphorstep::gateway {
 
