Group: Give up a lost lease for one of the store's new era

Found by reading: a holder that saw the lease's row in a new era kept its own lease whatever the row said. A host that had claimed the lease in the new era, after the wait for lost ones, would not have been believed by a holder that learned of the return late.

Only a row of an earlier era leaves the holder its lease. Test "A lease of the store's new era ends one that the store has lost" failed before (two checks) and passes.

--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -197,7 +197,7 @@
   }
   const bool isOfNewEra =
     EraOf(aLease.mRowVersion) > EraOf(promoter.mLease.mRowVersion);
-  if (isOfNewEra && HoldsPromoterLease(aContext)) {
+  if (isOfNewEra && HoldsPromoterLease(aContext) && !IsOfRowEra(aLease)) {
     // The other hosts wait as long as the lease may last.
     promoter.mLease.mRowVersion = aLease.mRowVersion;
     promoter.mSeenAt = aSeenAt;
--- a/Tests/Gateway/LeaseTest.cpp
+++ b/Tests/Gateway/LeaseTest.cpp
@@ -233,3 +233,14 @@
     StoreWritten{ renewal->mCall, CallOutcome::Ok, MakeStoreVersion(1, 9) });
   CHECK(driver.mState.mPromoter.mHeldUntil == held);
 }
+
+TEST_CASE("A lease of the store's new era ends one that the store has lost",
+          "[Lease]")
+{
+  GatewayDriver driver;
+  REQUIRE(HoldsLease(driver));
+  const StoreVersion returned = MakeStoreVersion(1, 5);
+  DeliverLease(driver, { "h2", 5, 1'000'001, returned }, 2000s);
+  CHECK_FALSE(HoldsLease(driver));
+  CHECK(driver.mState.mPromoter.mLease.mHolder == "h2");
+}
