Group: Claim a lease that the source leaves expired

A host with a source in its own data centre now claims a lease that has been expired for 3 to 8 s, spread by its name. If its knowledge of the row is out of date, the claim fails and the row is read again.

Test "A host claims a lease that its source leaves expired" failed before (one check) and passes.

--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -16,6 +16,11 @@
 constexpr Duration kLeaseCheckInterval = 250ms;
 /// Hosts claim an expired lease at different times within this period.
 constexpr Duration kMaxClaimDelay = 400ms;
+/// A host with a source in its own data centre gives the source this long to
+/// claim an expired lease. The source may be cut off from the store, or unable
+/// to claim. There are many such hosts, so their claims are spread wider.
+constexpr Duration kFollowerClaimDelay = 3s;
+constexpr Duration kMaxFollowerClaimDelay = 5s;
 /// The first token of an era is higher than all of the era before, including
 /// those that the store has lost.
 constexpr std::uint64_t kTokensPerEra = 1'000'000;
@@ -36,8 +41,13 @@
   const std::uint64_t hash =
     HashPair(Hash64(aContext.mState.mSelf.mEntry.mName),
              aContext.mState.mPromoter.mLease.mToken);
-  return Duration(static_cast<Duration::rep>(
-    hash % static_cast<std::uint64_t>(kMaxClaimDelay.count())));
+  const auto delayWithin = [hash](Duration aMaxDelay) {
+    return Duration(static_cast<Duration::rep>(
+      hash % static_cast<std::uint64_t>(aMaxDelay.count())));
+  };
+  return IsFollower(aContext)
+           ? kFollowerClaimDelay + delayWithin(kMaxFollowerClaimDelay)
+           : delayWithin(kMaxClaimDelay);
 }
 
 /// Returns a lower bound of the store's clock; zero if it was never read.
@@ -68,20 +78,22 @@
   return aLease.mToken / kTokensPerEra == EraOf(aLease.mRowVersion);
 }
 
-/// Whether the lease has expired or was released, so that it can be claimed.
+/// Whether the lease has expired or was released, so that it can be claimed. A
+/// host with a source in its own data centre only claims one that has expired.
 bool
 IsLeaseFree(const Context& aContext)
 {
   const PromoterState& promoter = aContext.mState.mPromoter;
+  const bool isFollower = IsFollower(aContext);
   if (!promoter.mIsKnown) {
-    return true;
+    return !isFollower;
   }
   // A lease of this host is one of its own or of an earlier process, which has
   // ended.
   const bool hasNoOtherHolder =
     promoter.mLease.mHolder.empty() ||
     promoter.mLease.mHolder == aContext.mState.mSelf.mEntry.mName;
-  if (hasNoOtherHolder && IsOfRowEra(promoter.mLease)) {
+  if (hasNoOtherHolder && !isFollower && IsOfRowEra(promoter.mLease)) {
     return true;
   }
   return StoreTime(aContext) >=
@@ -284,7 +296,7 @@
   } else if (isHeld && HoldsPromoterLease(aContext) &&
              IsOfRowEra(promoter.mLease)) {
     RenewLease(aContext);
-  } else if (aContext.mState.mReady && !IsFollower(aContext) &&
+  } else if (aContext.mState.mReady &&
              (HoldsPromoterLease(aContext) || IsLeaseFree(aContext))) {
     ClaimLease(aContext);
   }
--- a/Tests/Gateway/LeaseTest.cpp
+++ b/Tests/Gateway/LeaseTest.cpp
@@ -244,3 +244,15 @@
   CHECK_FALSE(HoldsLease(driver));
   CHECK(driver.mState.mPromoter.mLease.mHolder == "h2");
 }
+
+TEST_CASE("A host claims a lease that its source leaves expired", "[Lease]")
+{
+  Follower driver;
+  driver.mState.mTimers.Arm(TimerKind::PromoterLease, 0, driver.mNow);
+  DeliverLease(driver, { "h2", 5, 3, ++driver.mStoreVersion }, 1000s);
+  // The source has the first right to it.
+  driver.Follow(kPromoterLeaseDuration + 2s);
+  CHECK_FALSE(HoldsLease(driver));
+  driver.Follow(10s);
+  CHECK(HoldsLease(driver));
+}
