--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -58,10 +58,11 @@
   return group == nullptr ? std::vector<ServerId>{} : group->mServers;
 }
 
-/// Whether a listed server has been started at an entry's address since. The
-/// entry may outlast its server, or come back with an older copy of the store.
+/// Hides an entry if a listed server has been started at its address since; it
+/// may outlast its server, or come back with an older copy of the store.
+/// Returns whether it is hidden.
 bool
-IsReplaced(Context& aContext, const ServerEntry& aEntry)
+HideIfReplaced(Context& aContext, const ServerEntry& aEntry)
 {
   for (const ServerId id : ServersOfGroup(aContext, aEntry)) {
     Backend& backend = aContext.mState.mBackends.at(id);
@@ -234,7 +235,7 @@
       return false;
     }
     UpdateServer(aContext, *backend, aEntry);
-  } else if (IsReplaced(aContext, aEntry)) {
+  } else if (HideIfReplaced(aContext, aEntry)) {
     return false;
   } else {
     RemoveReplacedServers(aContext, aEntry);
