--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -107,8 +107,8 @@
   return TakeoverReason::NoPrimary;
 }
 
-/// Notes whether a promotion can have been requested: before that, all servers
-/// but one have to be paused.
+/// Notes that no promotion can have been requested if two servers are not
+/// paused: before a promotion, all servers but one have to be.
 void
 NoteUnfenced(const Context& aContext, Group& aGroup)
 {
