--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,4 +1,4 @@
-"""A line feed inside a field is taken for the end of the message."""
+"""A statement is sent along with the SET that it needs, and runs although the SET failed."""
 
 import asyncio
 import pathlib
@@ -9,52 +9,49 @@
 
 from site_standin import Caller, Closed, run_case
 
-# How many messages each of the callers sends.
-MESSAGES = 10
+# Share of the requests that a grey server fails, and for how long.
+GREY_SHARE = 0.4
+GREY_S = 6.5
 
 
-class TextCaller(Caller):
-    """Writes a text of two lines, the second of which looks like a message."""
+class ValueCaller(Caller):
+    """Sets a value of its own and writes, in short sessions."""
 
     async def operate(self, reader, writer):
-        while self.sent < MESSAGES:
-            self.sent += 1
+        values = {"tenant": f"t{self.site.random.getrandbits(32):08x}"}
+        statement = f"{self.site.random.getrandbits(64):016x}"
+        if not (await self.query(reader, writer, statement, f"SET tenant {values['tenant']}")).startswith("COMPLETE"):
+            # A caller closes its session after an error in answer to SET.
+            raise Closed()
+        for _ in range(5):
             statement = f"{self.site.random.getrandbits(64):016x}"
-            other = f"{self.site.random.getrandbits(64):016x}"
-            between = "\n" if self.site.line_feeds else " "
-            text = f"WRITE w{statement} first{between}QUERY {other} WRITE w{other} second"
-            self.site.sent[statement] = text
-            if (await self.query(reader, writer, statement, text)).startswith("COMPLETE "):
-                self.served += 1
-                self.site.acknowledged[statement] = self.group
-            await asyncio.sleep(0.05)
-            if self.site.line_feeds:
-                # The gateway's answer to the second half counts as a response to nothing.
-                raise Closed()
-        self.done = True
-        await asyncio.sleep(3600)
+            self.site.expected[statement] = values
+            answer = await self.query(reader, writer, statement, f"WRITE w{statement} d{statement}")
+            self.served += answer.startswith("COMPLETE ")
+            await asyncio.sleep(0.03)
+        raise Closed()
 
 
 def check(site):
-    """UNASKED: a server runs a statement that no client sent, or with changed text."""
-    for statement, server, text in site.texts:
-        sent = site.sent.get(statement)
-        if sent is None:
-            site.broken.append(f"UNASKED: {server} ran {statement} '{text}', which no client sent as a request")
-        elif text != sent:
-            site.broken.append(f"UNASKED: {server} ran {statement} as {text!r}, its client sent {sent!r}")
+    """PINNED: a statement runs where the session values differ from those acknowledged to its client."""
+    for statement, server, values in site.runs:
+        expected = site.expected.get(statement)
+        if expected is not None and values != expected:
+            site.broken.append(f"PINNED: {statement} ran at {server} with the values {values}, its client has {expected}")
 
 
 async def scenario(site, trouble):
-    site.sent = {}
-    site.line_feeds = trouble
-    callers = []
-    for name in site.gateways:
-        caller = TextCaller(site, name, site.groups[0])
-        caller.sent, caller.done = 0, False
-        callers.append(caller)
-    await site.until("all callers have sent their messages", lambda: all(c.done for c in callers), 60)
-    await asyncio.sleep(1.0)
+    site.expected = {}
+    callers = [ValueCaller(site, name, site.groups[0]) for name in site.gateways for _ in range(3)]
+    await site.until("all callers are served", lambda: all(c.served > 5 for c in callers), 30)
+    await asyncio.sleep(2.0)
+    if trouble:
+        for server in site.groups[0].servers:
+            server.grey_share = GREY_SHARE if server.primary else 0.0
+    await asyncio.sleep(GREY_S)
+    for server in site.groups[0].servers:
+        server.grey_share = 0.0
+    await asyncio.sleep(2.0)
     check(site)
 
 
