--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,58 +1,55 @@
-"""A statement is sent along with the SET that it needs, and runs although the SET failed."""
+"""An order to promote that a cut holds up arrives after the next promoter's orders."""
 
 import asyncio
 import pathlib
 import sys
+import time
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standin"))
 
-from site_standin import Caller, Closed, run_case
+from site_standin import Caller, run_case
 
-# Share of the requests that a grey server fails, and for how long.
-GREY_SHARE = 0.4
-GREY_S = 6.5
-
-
-class ValueCaller(Caller):
-    """Sets a value of its own and writes, in short sessions."""
-
-    async def operate(self, reader, writer):
-        values = {"tenant": f"t{self.site.random.getrandbits(32):08x}"}
-        statement = f"{self.site.random.getrandbits(64):016x}"
-        if not (await self.query(reader, writer, statement, f"SET tenant {values['tenant']}")).startswith("COMPLETE"):
-            # A caller closes its session after an error in answer to SET.
-            raise Closed()
-        for _ in range(5):
-            statement = f"{self.site.random.getrandbits(64):016x}"
-            self.site.expected[statement] = values
-            answer = await self.query(reader, writer, statement, f"WRITE w{statement} d{statement}")
-            self.served += answer.startswith("COMPLETE ")
-            await asyncio.sleep(0.03)
-        raise Closed()
-
-
-def check(site):
-    """PINNED: a statement runs where the session values differ from those acknowledged to its client."""
-    for statement, server, values in site.runs:
-        expected = site.expected.get(statement)
-        if expected is not None and values != expected:
-            site.broken.append(f"PINNED: {statement} ran at {server} with the values {values}, its client has {expected}")
+# How long the promoter's machine is cut from the store, and from the call of the duty.
+STORE_CUT_S = 5.5
+DUTY_CUT_S = 8.0
+# How long the second primary is down.
+PRIMARY_DOWN_S = 7.0
+# The cut begins this long after the promoter has renewed its lease.
+RENEWED_AGO_S = 1.0
 
 
 async def scenario(site, trouble):
-    site.expected = {}
-    callers = [ValueCaller(site, name, site.groups[0]) for name in site.gateways for _ in range(3)]
+    callers = [Caller(site, name, group) for name in site.gateways for group in site.groups]
     await site.until("all callers are served", lambda: all(c.served > 5 for c in callers), 30)
+    await asyncio.sleep(3.0)
+    first, second = site.groups[0], site.groups[1]
+    first.servers[0].crash()
+    await site.until("a first server is promoted", lambda: any(s.term > 1 for s in first.servers), 10)
+    await asyncio.sleep(1.0)
+    await first.servers[0].start()
     await asyncio.sleep(2.0)
-    if trouble:
-        for server in site.groups[0].servers:
-            server.grey_share = GREY_SHARE if server.primary else 0.0
-    await asyncio.sleep(GREY_S)
-    for server in site.groups[0].servers:
-        server.grey_share = 0.0
-    await asyncio.sleep(2.0)
-    check(site)
+    if not trouble:
+        await asyncio.sleep(15.0)
+        return
+    await site.until(
+        "the promoter has renewed its lease lately",
+        lambda: 0 <= time.monotonic() - site.store.last_renewal - RENEWED_AGO_S < 0.05,
+        5,
+    )
+    holder = site.gateways[site.holder()]
+    site.record.note(f"cut: {holder['name']} from the platform")
+    for port in ("store", "duty"):
+        holder[port].cut()
+    second.servers[0].crash()
+    site.start_later(second.servers[0], PRIMARY_DOWN_S)
+    await asyncio.sleep(STORE_CUT_S)
+    site.record.note(f"cut: {holder['name']} reaches the store again")
+    holder["store"].heal()
+    await asyncio.sleep(DUTY_CUT_S - STORE_CUT_S)
+    site.record.note(f"cut: {holder['name']} reaches the call of the duty again")
+    holder["duty"].heal()
+    await asyncio.sleep(5.0)
 
 
 run_case(sys.argv[1], scenario)
