--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 # start are the program that the deploy file builds.
 set -euo pipefail
 cd "$(dirname "$0")"
-for source in standin/*.py */run.py; do
+find . -name '*.py' | sort | while read -r source; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read(), sys.argv[1])' "$source"
 done
 test -x ../target/Source/App/camphorstep
--- a/review/5/frozen.py
+++ b/review/more/frozen-promoter/run.py
@@ -7,7 +7,7 @@
 import time
 
 sys.dont_write_bytecode = True
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standin"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "standin"))
 
 from site_standin import Caller, run_case
 
--- a/review/more/session-values/run.py
+++ b/review/more/session-values/run.py
@@ -5,7 +5,7 @@
 import sys
 
 sys.dont_write_bytecode = True
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standin"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "standin"))
 
 from site_standin import Caller, Closed, run_case
 
