--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,6 +1,7 @@
-"""An order to promote that a cut holds up arrives after the next promoter's orders."""
+"""An entry that another writer has put among the servers ends every gateway that reads it."""
 
 import asyncio
+import base64
 import pathlib
 import sys
 import time
@@ -10,46 +11,50 @@
 
 from site_standin import Caller, run_case
 
-# How long the promoter's machine is cut from the store, and from the call of the duty.
-STORE_CUT_S = 5.5
-DUTY_CUT_S = 8.0
-# How long the second primary is down.
-PRIMARY_DOWN_S = 7.0
-# The cut begins this long after the promoter has renewed its lease.
-RENEWED_AGO_S = 1.0
+# The value of the entry: bytes that are neither UTF-8 nor JSON.
+VALUE = base64.b64decode("eyJkYXRhYwAAAAAAAAAAZXMAAAAAAAAAAABzaW9uIjr0IaKz//8AACJBiUFBQSJ9")
+# A process that ends is restarted after a short delay.
+RESTART_S = 0.5
+# How long the entry is watched.
+WATCHED_S = 12.0
+# Fault: so many ends of processes, on so many machines.
+ENDS = 3
+MACHINES = 2
+
+
+async def restart_ended(site, ends):
+    """Restarts processes that have ended by themselves, as the platform does."""
+    while True:
+        for name, gateway in site.gateways.items():
+            code = gateway["process"].poll()
+            if code is not None:
+                ends[name] += 1
+                site.record.note(f"gateway {name}: ended by itself with {code}, {ends[name]} times now")
+                gateway["collector"].wait()
+                await asyncio.sleep(RESTART_S)
+                await site.start_gateway(name, gateway["zone"])
+        await asyncio.sleep(0.05)
 
 
 async def scenario(site, trouble):
     callers = [Caller(site, name, group) for name in site.gateways for group in site.groups]
     await site.until("all callers are served", lambda: all(c.served > 5 for c in callers), 30)
-    await asyncio.sleep(3.0)
-    first, second = site.groups[0], site.groups[1]
-    first.servers[0].crash()
-    await site.until("a first server is promoted", lambda: any(s.term > 1 for s in first.servers), 10)
     await asyncio.sleep(1.0)
-    await first.servers[0].start()
-    await asyncio.sleep(2.0)
-    if not trouble:
-        await asyncio.sleep(15.0)
-        return
-    await site.until(
-        "the promoter has renewed its lease lately",
-        lambda: 0 <= time.monotonic() - site.store.last_renewal - RENEWED_AGO_S < 0.05,
-        5,
-    )
-    holder = site.gateways[site.holder()]
-    site.record.note(f"cut: {holder['name']} from the platform")
-    for port in ("store", "duty"):
-        holder[port].cut()
-    second.servers[0].crash()
-    site.start_later(second.servers[0], PRIMARY_DOWN_S)
-    await asyncio.sleep(STORE_CUT_S)
-    site.record.note(f"cut: {holder['name']} reaches the store again")
-    holder["store"].heal()
-    await asyncio.sleep(DUTY_CUT_S - STORE_CUT_S)
-    site.record.note(f"cut: {holder['name']} reaches the call of the duty again")
-    holder["duty"].heal()
-    await asyncio.sleep(5.0)
+    ends = {name: 0 for name in site.gateways}
+    watch = asyncio.create_task(restart_ended(site, ends))
+    if trouble:
+        site.store.version += 1
+        site.store.rows[("servers", "i-other")] = (base64.b64encode(VALUE).decode(), site.store.version)
+        site.store._wake()
+        site.record.note(f"another writer: servers/i-other holds {VALUE!r}")
+    await asyncio.sleep(WATCHED_S)
+    watch.cancel()
+    late = sum(1 for c in callers if time.monotonic() - c.last_served_at < 2.0)
+    site.record.note(f"ends {ends}; {late} of {len(callers)} callers were served in the last 2 s")
+    if sum(1 for n in ends.values() if n >= ENDS) >= MACHINES:
+        site.broken.append(
+            f"Fault: processes ended by themselves {ends}; {late} of {len(callers)} callers were served in the last 2 s"
+        )
 
 
 run_case(sys.argv[1], scenario)
