Group: Keep the list of a group's copies in the store (LOST)

Cause: the number of copies of a group was the greatest number of servers that the process had seen listed at once. A process started after a planned replacement counted three, took two paused replicas for enough and left out the old primary, which alone had writes that the server that was gone had acknowledged. In a process that had seen four the number never fell again, so the group had no takeover after a replacement.

Evidence: in the log of the case the old primary was paused and had the highest position, and the candidate a lower one; the fence term held the new token, which rules out mixed pauses.

Change: copies are servers by name. The promoter records them in the transaction that renews its lease; the next one reads them before it replaces a primary. A former server counts until a listed replica has received what the primary had after it was gone, and until the store has the shorter list. A read of a table that is owed is made as soon as the call underway ends.

In TablesTest a check of a flag became a check that the read is sent, which now happens in the same step.

--- a/Source/Catalogue/CatalogueState.h
+++ b/Source/Catalogue/CatalogueState.h
@@ -75,6 +75,13 @@
   /// when it learned of that. No other host has held the lease since.
   std::uint64_t mFirstToken = 0;
   Instant mHeldSince;
+  /// The lists of copies in the store, by group.
+  std::map<std::string, std::vector<DataCopy>> mStoredCopies;
+  /// Whether they have been read since this host last took the lease from
+  /// another one. Until then it replaces no primary.
+  bool mHasReadCopies = false;
+  /// The lists in the write that is underway.
+  std::vector<GroupCopies> mWrittenCopies;
 };
 
 }
--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -7,6 +7,7 @@
 #include "Backend/Pool.h"
 #include "Catalogue/Tables.h"
 #include "Gateway/Tuning.h"
+#include "Group/Copies.h"
 #include "Session/Execution.h"
 #include "Session/Outcomes.h"
 
@@ -83,7 +84,7 @@
   Group& group = FindOrAddGroup(aContext, aEntry.mGroup);
   backend.mGroup = group.mId;
   group.mServers.push_back(backend.mId);
-  group.mGroupSize = std::max(group.mGroupSize, group.mServers.size());
+  NoteListedCopy(group, aEntry);
   Log(aContext,
       LogSeverity::Info,
       "backend server is listed",
@@ -199,6 +200,7 @@
     if (group->mPrimary == aServer) {
       group->mPrimary = ServerId{};
     }
+    NoteFormerCopy(aContext, *group, backend.mEntry);
   }
   CloseAllLinks(aContext, backend);
   RerouteQueue(aContext, backend);
--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -12,6 +12,7 @@
 #include "Fleet/Sources.h"
 #include "Gateway/Readiness.h"
 #include "Gateway/Tuning.h"
+#include "Group/Copies.h"
 #include "Group/Promoter.h"
 
 namespace camphorstep::gateway {
@@ -75,6 +76,9 @@
 Instant
 NextPoll(const Context& aContext, Table aTable, const TableProgress& aProgress)
 {
+  if (aProgress.mReread) {
+    return aContext.mNow;
+  }
   if (HoldsPromoterLease(aContext) || !HasResponsiveSource(aContext)) {
     return aContext.mNow + PollInterval(aContext, aTable);
   }
@@ -143,6 +147,8 @@
       whole.mServers.end(), aPage.mServers.begin(), aPage.mServers.end());
     whole.mHosts.insert(
       whole.mHosts.end(), aPage.mHosts.begin(), aPage.mHosts.end());
+    whole.mCopies.insert(
+      whole.mCopies.end(), aPage.mCopies.begin(), aPage.mCopies.end());
     whole.mLease = aPage.mLease ? aPage.mLease : whole.mLease;
     whole.mRouting = aPage.mRouting ? aPage.mRouting : whole.mRouting;
     whole.mStoreTime = aPage.mStoreTime;
@@ -263,6 +269,7 @@
   }
   if (answer->mTable == Table::Fleet) {
     ApplyStoredLease(aContext, *answer);
+    ApplyStoredCopies(aContext, *answer, progress.mCalledAt);
   }
   // Another host may have told of a later version meanwhile.
   if (progress.mKnown && answer->mVersion < progress.mVersion) {
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -100,12 +100,14 @@
   std::string mName;
 };
 
-/// Writes the promoter's lease on the condition that its row still has the
-/// version mLease.mRowVersion. Answered by StoreWritten.
+/// Writes the promoter's lease, and with it lists of copies, on the condition
+/// that the lease's row still has the version mLease.mRowVersion. Answered by
+/// StoreWritten.
 struct WriteLease
 {
   CallId mCall;
   PromoterLease mLease;
+  std::vector<GroupCopies> mCopies;
 };
 
 /// Requests the platform to promote a server. Answered by PromoteAnswered.
--- a/Source/Gateway/StoreRecord.h
+++ b/Source/Gateway/StoreRecord.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "Common/Time.h"
@@ -155,6 +156,32 @@
   }
 };
 
+/// A server that holds a copy of its group's data.
+struct DataCopy
+{
+  std::string mServer;
+  Address mAddress;
+  /// When the server started; see ServerEntry::mStartedAt.
+  std::uint64_t mStartedAt = 0;
+
+  auto operator<=>(const DataCopy& aOther) const
+  {
+    return std::tie(mServer, mAddress.mIp, mAddress.mPort, mStartedAt) <=>
+           std::tie(aOther.mServer,
+                    aOther.mAddress.mIp,
+                    aOther.mAddress.mPort,
+                    aOther.mStartedAt);
+  }
+  bool operator==(const DataCopy&) const = default;
+};
+
+/// The copies of a group's data, as its promoter last recorded them. Sorted.
+struct GroupCopies
+{
+  std::string mGroup;
+  std::vector<DataCopy> mCopies;
+};
+
 /// A change of one row. Without an entry the row was removed or is not valid.
 template<typename Entry>
 struct RowChange
@@ -195,6 +222,7 @@
   std::vector<RowChange<ServerEntry>> mServers;
   std::vector<RowChange<HostEntry>> mHosts;
   std::optional<PromoterLease> mLease;
+  std::vector<GroupCopies> mCopies;
 };
 
 }
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Gateway/Tuning.h"
+#include "Group/Copies.h"
 #include "Group/Sampling.h"
 #include "Group/Takeover.h"
 #include "Session/Routing.h"
@@ -138,7 +139,7 @@
       primary->mStatus->mTerm != aGroup.mTerm) {
     return Instant::min();
   }
-  if (aGroup.mGroupSize <= 1) {
+  if (CountCopies(aGroup) <= 1) {
     return primary->mStatusAskedAt + kEvidenceTimeout;
   }
   Instant asked = Instant::min();
@@ -181,6 +182,7 @@
     RecordPositionSample(aContext, *group, aBackend);
   }
   TrackReplication(aContext, *group);
+  DropFormerCopies(aContext, *group);
   RerouteWaitingStatements(aContext, *group);
   if (group->mPrimary != aBackend.mId) {
     RerouteQueuedReads(aContext, *group);
--- a/Source/Group/Fencing.cpp
+++ b/Source/Group/Fencing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Gateway/Tuning.h"
+#include "Group/Copies.h"
 #include "Group/Sampling.h"
 
 namespace camphorstep::gateway {
@@ -121,7 +122,7 @@
     CountServers(aContext, aGroup, [&](const Backend& aBackend) {
       return aContext.mNow - aBackend.mLastReceivedAt < kReachableTimeout;
     });
-  return pausedCount + 1 >= aGroup.mGroupSize && pausedCount >= reachable;
+  return pausedCount + 1 >= CountCopies(aGroup) && pausedCount >= reachable;
 }
 
 bool
@@ -144,7 +145,7 @@
     });
   // Every acknowledged write is on a replica, so the old primary is needed
   // only if a replica is missing.
-  const bool needsOldPrimary = replicas + 1 < aGroup.mGroupSize;
+  const bool needsOldPrimary = replicas + 1 < CountCopies(aGroup);
   const Backend* best = nullptr;
   for (const ServerId id : aGroup.mServers) {
     const Backend* const backend = Find(aContext.mState.mBackends, id);
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -64,6 +64,17 @@
   Instant mCallAfter;
 };
 
+/// A copy of a group's data on a server that is no longer listed. It may be the
+/// only one beside the primary's that has some acknowledged writes.
+struct FormerCopy
+{
+  DataCopy mCopy;
+  /// Since when the server is known to be gone.
+  Instant mSince;
+  /// Whether a listed replica has all that it may have acknowledged.
+  bool mIsCovered = false;
+};
+
 /// A replicated group of backend servers.
 struct Group
 {
@@ -71,9 +82,8 @@
   std::string mName;
   GroupRules mRules;
   std::vector<ServerId> mServers;
-  /// The greatest number of servers that were listed at the same time, the
-  /// primary included: the number of copies of the data.
-  std::size_t mGroupSize = 0;
+  /// Copies on servers that are no longer listed; see Group/Copies.h.
+  std::vector<FormerCopy> mFormerCopies;
 
   /// The server whose status shows it as primary of the highest known term, and
   /// that term.
--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 #include "Catalogue/Tables.h"
 #include "Common/Hash.h"
 #include "Fleet/Sources.h"
 #include "Gateway/Tuning.h"
+#include "Group/Copies.h"
 
 namespace camphorstep::gateway {
 
@@ -21,6 +23,9 @@
 /// to claim. There are many such hosts, so their claims are spread wider.
 constexpr Duration kFollowerClaimDelay = 3s;
 constexpr Duration kMaxFollowerClaimDelay = 5s;
+/// The interval between writes of the lease while lists of copies are to be
+/// recorded with it.
+constexpr Duration kMinLeaseWriteInterval = 500ms;
 /// The first token of an era is higher than all of the era before, including
 /// those that the store has lost.
 constexpr std::uint64_t kTokensPerEra = 1'000'000;
@@ -101,7 +106,9 @@
 }
 
 void
-WriteLeaseRow(Context& aContext, const PromoterLease& aLease)
+WriteLeaseRow(Context& aContext,
+              const PromoterLease& aLease,
+              std::vector<GroupCopies> aCopies = {})
 {
   PromoterState& promoter = aContext.mState.mPromoter;
   const bool isRepeated =
@@ -111,18 +118,22 @@
     promoter.mWrittenLeaseAt = aContext.mNow;
   }
   promoter.mWrittenLease = aLease;
+  promoter.mWrittenCopies = std::move(aCopies);
   promoter.mCall = NewId<CallId>(aContext);
   promoter.mCallSentAt = aContext.mNow;
   ++aContext.mState.mCounters.mStoreCalls;
-  Emit(aContext, WriteLease{ promoter.mCall, aLease });
+  Emit(aContext, WriteLease{ promoter.mCall, aLease, promoter.mWrittenCopies });
 }
 
 void
 RenewLease(Context& aContext)
 {
   const PromoterState& promoter = aContext.mState.mPromoter;
-  if (aContext.mNow - promoter.mCallSentAt >= kPromoterRenewInterval) {
-    WriteLeaseRow(aContext, promoter.mLease);
+  std::vector<GroupCopies> copies = CopiesToRecord(aContext);
+  const Duration interval =
+    copies.empty() ? kPromoterRenewInterval : kMinLeaseWriteInterval;
+  if (aContext.mNow - promoter.mCallSentAt >= interval) {
+    WriteLeaseRow(aContext, promoter.mLease, std::move(copies));
   }
 }
 
@@ -147,10 +158,11 @@
 ReleaseLease(Context& aContext)
 {
   PromoterState& promoter = aContext.mState.mPromoter;
+  std::vector<GroupCopies> copies = CopiesToRecord(aContext);
   promoter.mHeldUntil = Instant{};
   PromoterLease lease = promoter.mLease;
   lease.mHolder.clear();
-  WriteLeaseRow(aContext, lease);
+  WriteLeaseRow(aContext, lease, std::move(copies));
 }
 
 void
@@ -172,11 +184,16 @@
   if (!IsOwnLease(aContext, promoter.mLease)) {
     return;
   }
+  const bool wasHeld = HoldsPromoterLease(aContext);
   promoter.mHeldUntil = aSentAt + kPromoterLeaseDuration - kPromoterLeaseMargin;
   if (isNew && !isNext) {
     promoter.mFirstToken = promoter.mLease.mToken;
     promoter.mHeldSince = aContext.mNow;
   }
+  if (isNew && !isNext && !wasHeld) {
+    promoter.mHasReadCopies = false;
+    RereadTable(aContext, Table::Fleet);
+  }
   if (isNew) {
     Log(aContext,
         LogSeverity::Info,
@@ -316,6 +333,7 @@
     NoteStoreTime(aContext, aEvent.mStoreTime);
     ApplyLeaseWrite(
       aContext, aEvent.mVersion, aEvent.mStoreTime, promoter.mCallSentAt);
+    ApplyRecordedCopies(aContext, promoter.mWrittenCopies);
     return true;
   }
   Log(aContext,
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -6,6 +6,7 @@
 #include "Common/NamedEnum.h"
 #include "Fleet/Silence.h"
 #include "Gateway/Tuning.h"
+#include "Group/Copies.h"
 #include "Group/Fencing.h"
 #include "Group/Promoter.h"
 #include "Group/Sampling.h"
@@ -75,7 +76,7 @@
         kReplicationStallTimeout) {
     return TakeoverReason::NotReplicating;
   }
-  if (CountPaused(aContext, aGroup) + 1 >= aGroup.mGroupSize) {
+  if (CountPaused(aContext, aGroup) + 1 >= CountCopies(aGroup)) {
     return TakeoverReason::Interrupted;
   }
   return std::nullopt;
@@ -86,7 +87,7 @@
 std::optional<TakeoverReason>
 ReasonToReplace(Context& aContext, Group& aGroup)
 {
-  if (aGroup.mGroupSize < 2) {
+  if (CountCopies(aGroup) < 2) {
     return std::nullopt;
   }
   if (const Backend* const primary =
@@ -94,7 +95,7 @@
     aGroup.mNoPrimarySince.reset();
     return ReasonWithPrimary(aContext, aGroup, *primary);
   }
-  if (CountRecentStatuses(aContext, aGroup) + 1 < aGroup.mGroupSize) {
+  if (CountRecentStatuses(aContext, aGroup) + 1 < CountCopies(aGroup)) {
     aGroup.mNoPrimarySince.reset();
     return std::nullopt;
   }
@@ -314,6 +315,9 @@
     }
     return;
   }
+  if (!aContext.mState.mPromoter.mHasReadCopies) {
+    return;
+  }
   switch (takeover.mPhase) {
     case TakeoverPhase::None:
       NoteUnfenced(aContext, aGroup);
--- a/Tests/Gateway/GatewayDriver.cpp
+++ b/Tests/Gateway/GatewayDriver.cpp
@@ -104,19 +104,31 @@
 void
 GatewayDriver::AnswerTables()
 {
-  const auto answerWith = [this](CallId aCall, Table aTable) {
+  const auto answerWith = [this](CallId aCall, Table aTable, bool aReadsAll) {
     TableAnswer answer;
     answer.mCall = aCall;
     answer.mTable = aTable;
     answer.mOutcome = CallOutcome::Ok;
     answer.mVersion = mStoreVersion;
     answer.mStoreTime = mNow.time_since_epoch();
+    if (aTable == Table::Fleet && aReadsAll) {
+      answer.mIsSnapshot = true;
+      answer.mCopies = mStoredCopies;
+      for (const auto& [name, host] : mState.mCatalogue.mHosts) {
+        answer.mHosts.push_back({ name, host });
+      }
+    }
     Deliver(answer);
   };
   while (const auto call = Take<ReadTable>()) {
-    answerWith(call->mCall, call->mTable);
+    answerWith(call->mCall, call->mTable, true);
+  }
+  // The other tables' calls wait for changes.
+  if (const auto call = TakeFleetWatch()) {
+    answerWith(call->mCall, call->mTable, false);
   }
   while (const auto call = Take<WriteLease>()) {
+    StoreCopies(call->mCopies);
     Deliver(StoreWritten{ call->mCall, CallOutcome::Ok, ++mStoreVersion });
   }
   while (const auto call = Take<WriteHostEntry>()) {
@@ -124,6 +136,31 @@
   }
 }
 
+std::optional<WatchTable>
+GatewayDriver::TakeFleetWatch()
+{
+  for (auto it = mEffects.begin(); it != mEffects.end(); ++it) {
+    const WatchTable* const watch = std::get_if<WatchTable>(&*it);
+    if (watch != nullptr && watch->mTable == Table::Fleet) {
+      const WatchTable found = *watch;
+      mEffects.erase(it);
+      return found;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+GatewayDriver::StoreCopies(const std::vector<GroupCopies>& aCopies)
+{
+  for (const GroupCopies& written : aCopies) {
+    std::erase_if(mStoredCopies, [&](const GroupCopies& aStored) {
+      return aStored.mGroup == written.mGroup;
+    });
+    mStoredCopies.push_back(written);
+  }
+}
+
 void
 GatewayDriver::OpenLinks()
 {
--- a/Tests/Gateway/GatewayDriver.h
+++ b/Tests/Gateway/GatewayDriver.h
@@ -113,8 +113,12 @@
   std::deque<Effect> mEffects;
   std::vector<FakeServer> mServers;
   std::uint64_t mStoreVersion = 10;
+  /// The lists of copies in the store.
+  std::vector<GroupCopies> mStoredCopies;
 
 private:
+  std::optional<WatchTable> TakeFleetWatch();
+  void StoreCopies(const std::vector<GroupCopies>& aCopies);
   BackendReply StatusReply(FakeServer& aServer, const BackendRequest& aRequest);
 };
 
--- a/Tests/Gateway/TablesTest.cpp
+++ b/Tests/Gateway/TablesTest.cpp
@@ -360,7 +360,11 @@
     nothingNew.mVersion = driver.mStoreVersion;
     driver.Deliver(AnswerTo(driver, nothingNew));
     REQUIRE_FALSE(driver.mState.mBackends.contains(id));
-    CHECK(TableOf(driver, Table::Servers).mReread);
+    std::optional<ReadTable> read;
+    do {
+      read = driver.Take<ReadTable>();
+    } while (read && read->mTable != Table::Servers);
+    CHECK(read);
     list(false, 1);
     REQUIRE(driver.mState.mBackends.contains(id));
     CHECK(driver.mState.mBackends.at(id).mEntry.mStartedAt == 1);
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -2,26 +2,13 @@
 
 #include "Gateway/Tuning.h"
 #include "GatewayDriver.h"
+#include "Promotions.h"
 
 using namespace camphorstep;
 using namespace camphorstep::gateway;
 
 namespace {
 
-/// Runs until the core requests a promotion from the platform. Returns nullopt
-/// if it requests none within aTime.
-std::optional<PromoteServer>
-RunUntilPromotion(GatewayDriver& aDriver, Duration aTime)
-{
-  for (Duration passed{ 0 }; passed < aTime; passed += 10ms) {
-    aDriver.Run(10ms);
-    if (auto promotion = aDriver.Take<PromoteServer>()) {
-      return promotion;
-    }
-  }
-  return std::nullopt;
-}
-
 /// Replaces a server by one with another name at its address, which has its
 /// state and is listed after it.
 void
--- a/Tests/Platform/PathTest.cpp
+++ b/Tests/Platform/PathTest.cpp
@@ -1,122 +1,38 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
-#include <cstdio>
-#include <fstream>
-#include <memory>
 #include <string>
 #include <thread>
 
-#include <cxxtools/net/tcpstream.h>
-
-#include "Shell/GatewayRuntime.h"
+#include "Standin/LocalGateway.h"
 #include "Standin/SiteStandin.h"
-#include "platform/Adapter.h"
 
 using namespace camphorstep;
 using namespace std::chrono_literals;
+using standin::Caller;
+using standin::LocalGateway;
+using standin::OpenWhenServed;
 
 namespace {
 
 constexpr std::uint16_t kSitePort = 18'960;
 constexpr std::uint16_t kGatewayPort = 18'970;
-const std::string kSettingsPath = "camphorstep-path-test.ini";
-
-std::string
-PortText(int aOffset)
-{
-  return "127.0.0.1:" + std::to_string(kGatewayPort + aOffset);
-}
-
-/// A gateway in a thread of its own.
-class Gateway
-{
-public:
-  Gateway()
-  {
-    std::ofstream out(kSettingsPath);
-    out << "[host]\nname = h1\ndata_centre = a\n[listen]\ncallers = "
-        << PortText(0) << "\nreadiness = " << PortText(1)
-        << "\npeers = " << PortText(2) << "\nmetrics = " << PortText(3)
-        << "\n[stop]\ngrace_ms = 2000\n[platform]\nstore = 127.0.0.1:"
-        << kSitePort << "\npromotions = 127.0.0.1:" << kSitePort + 1
-        << "\n[data_centre.a]\nregion = r\n";
-    out.close();
-    mRuntime =
-      std::make_unique<GatewayRuntime>(kSettingsPath, platform::MakeAdapter);
-    mThread = std::thread([this] { mRuntime->Run(); });
-  }
-
-  ~Gateway()
-  {
-    mRuntime->RequestStop();
-    mThread.join();
-    std::remove(kSettingsPath.c_str());
-  }
-
-  Gateway(const Gateway&) = delete;
-  Gateway& operator=(const Gateway&) = delete;
-
-private:
-  std::unique_ptr<GatewayRuntime> mRuntime;
-  std::thread mThread;
-};
-
-/// A caller that waits for each answer.
-class Caller
-{
-public:
-  explicit Caller(const std::string& aDatabase)
-    : mStream("127.0.0.1", kGatewayPort)
-  {
-    mStream.socket().setTimeout(cxxtools::Milliseconds(8000.0));
-    mWelcome = Exchange("STARTUP " + aDatabase + " user");
-  }
-
-  /// Sends a query; gives the lines of the answer before its end.
-  std::string Query(const std::string& aText)
-  {
-    return Exchange("QUERY q" + std::to_string(++mQueries) + " " + aText);
-  }
-
-  std::string mWelcome;
-  /// The line that ended the last answer.
-  std::string mReady;
-
-private:
-  std::string Exchange(const std::string& aLine)
-  {
-    mStream << aLine << "\r\n" << std::flush;
-    std::string answer;
-    for (std::string line; std::getline(mStream, line);) {
-      if (!line.empty() && line.back() == '\r') {
-        line.pop_back();
-      }
-      if (line.starts_with("READY")) {
-        mReady = line;
-        return answer;
-      }
-      answer += line + "\n";
-    }
-    return answer;
-  }
-
-  cxxtools::net::TcpStream mStream;
-  int mQueries = 0;
-};
 
-/// Opens a session once the gateway serves the database.
-std::unique_ptr<Caller>
-OpenWhenServed(const std::string& aDatabase)
+/// Waits until a condition holds in the site's thread. Returns whether it does
+/// within a time.
+template<typename Condition>
+bool
+WaitFor(standin::SiteStandin& aSite,
+        std::chrono::milliseconds aTime,
+        Condition aCondition)
 {
-  for (int n = 0; n < 60; ++n) {
-    auto caller = std::make_unique<Caller>(aDatabase);
-    if (caller->mWelcome.empty()) {
-      return caller;
-    }
-    std::this_thread::sleep_for(50ms);
+  const auto end = std::chrono::steady_clock::now() + aTime;
+  bool holds = false;
+  while (!holds && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(20ms);
+    aSite.Do([&] { holds = aCondition(); });
   }
-  return nullptr;
+  return holds;
 }
 
 }
@@ -125,8 +41,8 @@
 {
   standin::SiteStandin site(kSitePort);
   site.Publish(3, { "main", "near" });
-  const Gateway gateway;
-  const auto caller = OpenWhenServed("main");
+  const LocalGateway gateway(kGatewayPort, kSitePort);
+  const auto caller = OpenWhenServed(kGatewayPort, "main");
   REQUIRE(caller);
 
   CHECK(caller->Query("WRITE item one") == "COMPLETE sig-q1\n");
@@ -142,7 +58,7 @@
   CHECK(caller->mReady.starts_with("READY I 1."));
 
   // Another session on the same connections has no values.
-  Caller other("near");
+  Caller other(kGatewayPort, "near");
   CHECK(other.Query("READ item@") == "ROW \nCOMPLETE sig-q1\n");
   CHECK(other.Query("READ item@me").starts_with("ROW two\n"));
   site.Do([&] {
@@ -155,16 +71,16 @@
   SECTION("A new configuration is in force soon")
   {
     site.Publish(4, { "main", "near", "added" });
-    CHECK(OpenWhenServed("added"));
+    CHECK(OpenWhenServed(kGatewayPort, "added"));
   }
   SECTION("Configurations are in force after the store lost what it had "
           "acknowledged")
   {
     site.Do([&] { site.Store().KeepCopy(); });
     site.Publish(4, { "main", "near", "lost" });
-    CHECK(OpenWhenServed("lost"));
+    CHECK(OpenWhenServed(kGatewayPort, "lost"));
     site.Do([&] { site.Store().ReturnFromCopy(); });
-    CHECK(Caller("lost").mWelcome.empty());
+    CHECK(Caller(kGatewayPort, "lost").mWelcome.empty());
     SECTION("when it has fewer versions than before")
     {
       site.Publish(7, { "main", "near", "added" });
@@ -177,7 +93,7 @@
         site.Publish(7, { "main", "near", "added" });
       }
     }
-    CHECK(OpenWhenServed("added"));
+    CHECK(OpenWhenServed(kGatewayPort, "added"));
   }
   SECTION("A primary that dies is replaced, and nothing acknowledged is lost")
   {
@@ -192,6 +108,38 @@
   }
   SECTION("A database without a route is refused")
   {
-    CHECK(Caller("nowhere").mWelcome.starts_with("ERROR NODATABASE"));
+    CHECK(
+      Caller(kGatewayPort, "nowhere").mWelcome.starts_with("ERROR NODATABASE"));
   }
 }
+
+TEST_CASE("A restarted promoter keeps writes that only the primary has",
+          "[Path]")
+{
+  // Guards against forgetting, at a restart, a server that has left and that
+  // alone had acknowledged the primary's writes: a replica without them was
+  // promoted.
+  standin::SiteStandin site(kSitePort, {}, 4);
+  site.Publish(3, { "main" });
+  auto gateway = std::make_unique<LocalGateway>(kGatewayPort, kSitePort);
+  auto caller = OpenWhenServed(kGatewayPort, "main");
+  REQUIRE(caller);
+  CHECK(caller->Query("WRITE item one").starts_with("COMPLETE"));
+  CHECK(WaitFor(site, 4s, [&] {
+    return site.Store().Has("camphorstep", "promoter") &&
+           site.Store().Has("camphorstep", "copies/records");
+  }));
+  site.Do([&] {
+    site.Group().SetDeaf(1, true);
+    site.Group().SetDeaf(2, true);
+  });
+  REQUIRE(caller->Query("WRITE item two").starts_with("COMPLETE"));
+  site.RemoveServer(3);
+  caller.reset();
+  gateway.reset();
+  gateway = std::make_unique<LocalGateway>(kGatewayPort, kSitePort);
+  REQUIRE(OpenWhenServed(kGatewayPort, "main"));
+  // The primary has a write that no replica has, so it is replaced.
+  CHECK(WaitFor(site, 12s, [&] { return !site.Orders().empty(); }));
+  site.Do([&] { CHECK(site.Group().Data().at("item") == "two"); });
+}
--- /dev/null
+++ b/Tests/Platform/Standin/LocalGateway.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <cxxtools/net/tcpstream.h>
+
+#include "Shell/GatewayRuntime.h"
+
+namespace camphorstep::standin {
+
+/// A gateway on loopback ports from a first one on, in a thread of its own. It
+/// uses the stand-in site whose ports begin at another one.
+class LocalGateway
+{
+public:
+  /// Starts the gateway, which holds no state of an earlier one.
+  LocalGateway(std::uint16_t aFirstPort, std::uint16_t aSitePort);
+
+  /// Has the gateway stop as planned and waits for it.
+  ~LocalGateway();
+
+  LocalGateway(const LocalGateway&) = delete;
+  LocalGateway& operator=(const LocalGateway&) = delete;
+
+private:
+  std::string mSettingsPath;
+  std::unique_ptr<GatewayRuntime> mRuntime;
+  std::thread mThread;
+};
+
+/// A caller that waits for each answer.
+class Caller
+{
+public:
+  /// Opens a session for a database at a port of this machine.
+  Caller(std::uint16_t aPort, const std::string& aDatabase);
+
+  /// Sends a query. Returns the lines of the answer before its end.
+  std::string Query(const std::string& aText);
+
+  /// What came before the session was ready; empty if it was accepted.
+  std::string mWelcome;
+  /// The line that ended the last answer.
+  std::string mReady;
+
+private:
+  std::string Exchange(const std::string& aLine);
+
+  cxxtools::net::TcpStream mStream;
+  int mQueries = 0;
+};
+
+/// Opens a session once the gateway serves the database; nullptr if it does
+/// not within 3 s.
+std::unique_ptr<Caller> OpenWhenServed(std::uint16_t aPort,
+                                       const std::string& aDatabase);
+
+}
--- a/Tests/Platform/Standin/SiteStandin.cpp
+++ b/Tests/Platform/Standin/SiteStandin.cpp
@@ -11,7 +11,6 @@
 
 constexpr const char* kIp = "127.0.0.1";
 constexpr int kFirstServerPort = 2;
-constexpr std::size_t kServers = 3;
 constexpr unsigned kOk = 200;
 constexpr unsigned kConflict = 409;
 
@@ -39,20 +38,17 @@
 }
 
 SiteStandin::SiteStandin(std::uint16_t aFirstPort,
-                         const std::vector<Address>& aServerAddresses)
+                         const std::vector<Address>& aServerAddresses,
+                         std::size_t aServerCount)
   : mFirstPort(aFirstPort)
   , mStore(mLoop, At(0))
   , mPromotions(
       mLoop,
       At(1),
       [this](const HttpRequest& aRequest) { HandlePromotion(aRequest); })
-  , mGroup(mLoop,
-           "records",
-           { At(kFirstServerPort),
-             At(kFirstServerPort + 1),
-             At(kFirstServerPort + 2) })
+  , mGroup(mLoop, "records", ServerAddresses(aServerCount))
 {
-  for (std::size_t n = 0; n < kServers; ++n) {
+  for (std::size_t n = 0; n < aServerCount; ++n) {
     const Address address =
       aServerAddresses.empty() ? ServerAddress(n) : aServerAddresses.at(n);
     mStore.Put(
@@ -102,12 +98,31 @@
   Do([&] { mStore.Put("op", "config", text); });
 }
 
+void
+SiteStandin::RemoveServer(std::size_t aServer)
+{
+  Do([&] {
+    mGroup.Kill(aServer);
+    mStore.Drop("servers", mGroup.NameOf(aServer));
+  });
+}
+
 Address
 SiteStandin::ServerAddress(std::size_t aServer) const
 {
   return At(kFirstServerPort + static_cast<int>(aServer));
 }
 
+std::vector<Address>
+SiteStandin::ServerAddresses(std::size_t aServerCount) const
+{
+  std::vector<Address> addresses;
+  for (std::size_t n = 0; n < aServerCount; ++n) {
+    addresses.push_back(ServerAddress(n));
+  }
+  return addresses;
+}
+
 Address
 SiteStandin::At(int aOffset) const
 {
--- a/Tests/Platform/Standin/SiteStandin.h
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -15,14 +15,17 @@
 namespace camphorstep::standin {
 
 /// A small site on loopback addresses: the platform's store and promotions,
-/// and one group of three backend servers, in a thread of its own.
+/// and one group of backend servers, in a thread of its own.
 class SiteStandin : public cxxtools::Connectable
 {
 public:
+  static constexpr std::size_t kServers = 3;
+
   /// Uses the ports from a first one on. The servers' entries name the given
   /// addresses, or their own.
   explicit SiteStandin(std::uint16_t aFirstPort,
-                       const std::vector<Address>& aServerAddresses = {});
+                       const std::vector<Address>& aServerAddresses = {},
+                       std::size_t aServerCount = kServers);
   ~SiteStandin() override;
 
   SiteStandin(const SiteStandin&) = delete;
@@ -39,6 +42,9 @@
   void Publish(std::uint64_t aVersion,
                const std::vector<std::string>& aDatabases);
 
+  /// Ends a server and removes its entry.
+  void RemoveServer(std::size_t aServer);
+
   /// Where a server listens.
   Address ServerAddress(std::size_t aServer) const;
 
@@ -53,6 +59,7 @@
 
 private:
   Address At(int aOffset) const;
+  std::vector<Address> ServerAddresses(std::size_t aServerCount) const;
   void HandlePromotion(const HttpRequest& aRequest);
   void OnWake(const cxxtools::Event& aEvent);
 
--- a/Tests/Platform/Standin/StoreStandin.cpp
+++ b/Tests/Platform/Standin/StoreStandin.cpp
@@ -53,6 +53,21 @@
   AnswerWatches();
 }
 
+void
+StoreStandin::Drop(const std::string& aTable, const std::string& aKey)
+{
+  ++mVersion;
+  PutEncoded(aTable, aKey, "");
+  AnswerWatches();
+}
+
+bool
+StoreStandin::Has(const std::string& aTable, const std::string& aKey) const
+{
+  const auto it = mRows.find({ aTable, aKey });
+  return it != mRows.end() && !it->second.mValue.empty();
+}
+
 void
 StoreStandin::PutEncoded(const std::string& aTable,
                          const std::string& aKey,
--- a/Tests/Platform/Standin/StoreStandin.h
+++ b/Tests/Platform/Standin/StoreStandin.h
@@ -36,6 +36,12 @@
            const std::string& aKey,
            const std::string& aValue);
 
+  /// Removes a row from the side.
+  void Drop(const std::string& aTable, const std::string& aKey);
+
+  /// Whether a row exists.
+  bool Has(const std::string& aTable, const std::string& aKey) const;
+
   /// Keeps a copy of the rows, and returns from it: what was written since is
   /// lost, versions are given out again, and the era grows.
   void KeepCopy();
