--- a/Source/Group/Fencing.cpp
+++ b/Source/Group/Fencing.cpp
@@ -110,6 +110,20 @@
   });
 }
 
+void
+StepDownOldPrimary(Context& aContext, Group& aGroup)
+{
+  const Takeover& takeover = aGroup.mTakeover;
+  ForEachServer(aContext, aGroup, [&](Backend& aBackend) {
+    const bool isOldPrimary = aBackend.mStatus && aBackend.mStatus->mPrimary &&
+                              aBackend.mStatus->mTerm <= takeover.mOldTerm;
+    if (isOldPrimary && IsControlFree(aContext, aBackend)) {
+      SendControlRequest(
+        aContext, aBackend, BackendVerb::StepDown, takeover.mFenceTerm);
+    }
+  });
+}
+
 bool
 IsFenced(const Context& aContext, const Group& aGroup, Instant aSince)
 {
--- a/Source/Group/Fencing.h
+++ b/Source/Group/Fencing.h
@@ -18,6 +18,10 @@
 /// connection is free.
 void ContinueFencing(Context& aContext, Group& aGroup);
 
+/// Sends the step-down command to an old primary that has returned. Pauses no
+/// replica: a promotion that is underway ends the pauses.
+void StepDownOldPrimary(Context& aContext, Group& aGroup);
+
 /// Whether enough servers have reported, in answer to requests sent since
 /// aSince, that they are paused by this takeover: no further write can then be
 /// acknowledged, and every acknowledged write is on a paused server.
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -62,6 +62,9 @@
   ServerId mCandidate;
   CallId mCall;
   Instant mCallAfter;
+  /// Whether a server was not paused while the call was underway, so that
+  /// writes may have been acknowledged that the candidate lacks.
+  bool mIsFenceBroken = false;
 };
 
 /// A copy of a group's data on a server that is no longer listed. It may be the
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -165,6 +165,7 @@
   Takeover& takeover = aGroup.mTakeover;
   aGroup.mUnfencedToken.reset();
   takeover.mCandidate = aCandidate.mId;
+  takeover.mIsFenceBroken = false;
   takeover.mCall = NewId<CallId>(aContext);
   const PromoterLease& lease = aContext.mState.mPromoter.mLease;
   Log(aContext,
@@ -232,6 +233,21 @@
   SetPhase(aContext, aGroup, TakeoverPhase::AwaitingEvidenceExpiry);
 }
 
+/// Starts the takeover's fence anew, since writes may have been acknowledged.
+void
+RestartFencing(Context& aContext, Group& aGroup)
+{
+  Log(aContext,
+      LogSeverity::Warning,
+      "a server was not paused before the promotion; pausing all again",
+      { { "group", aGroup.mName },
+        { "term", std::to_string(aGroup.mTerm) },
+        { "since_start_ms",
+          Milliseconds(aContext.mNow - aGroup.mTakeover.mStartedAt) } });
+  SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
+  ContinueFencing(aContext, aGroup);
+}
+
 void
 AdvanceEvidenceExpiry(Context& aContext, Group& aGroup)
 {
@@ -239,8 +255,7 @@
   // A server that was not paused may have given evidence for the old primary,
   // so the wait starts again.
   if (IsFenceBroken(aContext, aGroup)) {
-    SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
-    ContinueFencing(aContext, aGroup);
+    RestartFencing(aContext, aGroup);
     return;
   }
   ContinueFencing(aContext, aGroup);
@@ -263,24 +278,36 @@
 AdvancePromoting(Context& aContext, Group& aGroup)
 {
   Takeover& takeover = aGroup.mTakeover;
-  if (takeover.mCall || aContext.mNow < takeover.mCallAfter) {
+  takeover.mIsFenceBroken |= IsFenceBroken(aContext, aGroup);
+  if (takeover.mCall) {
+    StepDownOldPrimary(aContext, aGroup);
     return;
   }
-  const Backend* const candidate =
-    Find(aContext.mState.mBackends, takeover.mCandidate);
-  if (candidate == nullptr || !candidate->mStatus) {
-    SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
+  if (takeover.mIsFenceBroken) {
+    RestartFencing(aContext, aGroup);
     return;
   }
-  RequestPromotion(aContext, aGroup, *candidate);
+  ContinueFencing(aContext, aGroup);
+  if (aContext.mNow >= takeover.mCallAfter) {
+    // The next call needs all that the first one did.
+    SetPhase(aContext, aGroup, TakeoverPhase::AwaitingEvidenceExpiry);
+  }
+}
+
+/// Whether the server that a promotion was requested for leads a newer term.
+bool
+IsCandidateLeading(const Group& aGroup)
+{
+  const Takeover& takeover = aGroup.mTakeover;
+  return takeover.mCandidate && aGroup.mPrimary == takeover.mCandidate &&
+         aGroup.mTerm > takeover.mOldTerm;
 }
 
 void
 AdvanceVerifying(Context& aContext, Group& aGroup)
 {
   Takeover& takeover = aGroup.mTakeover;
-  if (aGroup.mPrimary == takeover.mCandidate &&
-      aGroup.mTerm > takeover.mOldTerm) {
+  if (IsCandidateLeading(aGroup)) {
     if (!EndPauses(aContext, aGroup)) {
       return;
     }
@@ -318,6 +345,13 @@
   if (!aContext.mState.mPromoter.mHasReadCopies) {
     return;
   }
+  if (IsCandidateLeading(aGroup) &&
+      takeover.mPhase != TakeoverPhase::Verifying) {
+    // The promotion took effect before its answer came, or without one.
+    takeover.mCall = CallId{};
+    takeover.mCallAfter = aContext.mNow;
+    SetPhase(aContext, aGroup, TakeoverPhase::Verifying);
+  }
   switch (takeover.mPhase) {
     case TakeoverPhase::None:
       NoteUnfenced(aContext, aGroup);
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -317,3 +317,92 @@
   driver.Server("s1").mDown = true;
   CHECK(RunUntilPromotion(driver, 4s));
 }
+
+namespace {
+
+/// Returns the name of the replica that is not to be promoted.
+std::string
+OtherReplica(const PromoteServer& aPromotion)
+{
+  return aPromotion.mServer == "s2" ? "s3" : "s2";
+}
+
+/// Has the old primary and a replica, which is no longer paused after its
+/// restart, acknowledge writes that the other replica does not receive.
+void
+AcknowledgeThrough(GatewayDriver& aDriver, const std::string& aReplica)
+{
+  aDriver.Server("s1").mDown = false;
+  aDriver.Server("s1").mIndex = 110;
+  aDriver.Server(aReplica).mPauseTerm = 0;
+  aDriver.Server(aReplica).mIndex = 110;
+}
+
+}
+
+TEST_CASE("A promotion that was not carried out is not requested again "
+          "without a new fence",
+          "[Takeover]")
+{
+  // Guards against promoting a replica that lacks writes which were
+  // acknowledged between two requests.
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  const auto promotion = RunUntilPromotion(driver, 4s);
+  REQUIRE(promotion);
+  SECTION("when the platform had refused it")
+  {
+    driver.Deliver(PromoteAnswered{ promotion->mCall, CallOutcome::Refused });
+    AcknowledgeThrough(driver, OtherReplica(*promotion));
+  }
+  SECTION("when its answer was still awaited")
+  {
+    AcknowledgeThrough(driver, OtherReplica(*promotion));
+    driver.Run(300ms);
+    CHECK_FALSE(driver.Server("s1").mPrimary);
+    driver.Deliver(PromoteAnswered{ promotion->mCall, CallOutcome::Unknown });
+  }
+  const Instant unpausedAt = driver.mNow;
+  const auto second = RunUntilPromotion(driver, 5s);
+  REQUIRE(second);
+  CHECK(second->mServer != promotion->mServer);
+  CHECK(driver.mNow - unpausedAt >= kEvidenceTimeout);
+  CHECK(driver.Server(OtherReplica(*promotion)).mPauseTerm != 0);
+  CHECK_FALSE(driver.Server("s1").mPrimary);
+}
+
+TEST_CASE("A promotion that was refused is requested again under its fence",
+          "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  const auto promotion = RunUntilPromotion(driver, 4s);
+  REQUIRE(promotion);
+  driver.Deliver(PromoteAnswered{ promotion->mCall, CallOutcome::Refused });
+  const Instant refusedAt = driver.mNow;
+  const auto second = RunUntilPromotion(driver, 2s);
+  REQUIRE(second);
+  CHECK(second->mServer == promotion->mServer);
+  CHECK(driver.mNow - refusedAt >= kPromoteRetryDelay);
+  CHECK(driver.mNow - refusedAt < kEvidenceTimeout);
+}
+
+TEST_CASE("A promotion that took effect without an answer is kept",
+          "[Takeover]")
+{
+  // Guards against having the new primary step down.
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  const auto promotion = RunUntilPromotion(driver, 4s);
+  REQUIRE(promotion);
+  GatewayDriver::FakeServer& successor = driver.Server(promotion->mServer);
+  successor.mPrimary = true;
+  successor.mTerm = 2;
+  successor.mPauseTerm = 0;
+  driver.Run(300ms);
+  driver.Deliver(PromoteAnswered{ promotion->mCall, CallOutcome::Unknown });
+  CHECK_FALSE(RunUntilPromotion(driver, 5s));
+  CHECK(successor.mPrimary);
+  CHECK(driver.Server(OtherReplica(*promotion)).mPauseTerm == 0);
+  CHECK(driver.mState.mCounters.mPromotions == 1);
+}
