Wire, Platform: Refuse text that the JSON reader cannot take (Fault)

The HTTP proxy had the same fault for the bodies of callers, which the test `decoders` had found.

Cause: the library's JSON reader looks characters outside strings up in a table of 256 classes; bytes of other writers reached it after a check of brackets alone. The signal rules out an exception, and an existing test with 40,000 brackets rules out the depth.

Change: Wire/JsonText is the one place that gives text to that reader. The answers of the table service, `camphorstep status` and the load tool, which had no check at all, go through it too. In an answer of the store, bytes of a key that are not UTF-8 are replaced, so one row does not hide the others.

--- a/Source/App/StatusCommand.cpp
+++ b/Source/App/StatusCommand.cpp
@@ -9,6 +9,7 @@
 #include "App/Commands.h"
 #include "App/HttpFetch.h"
 #include "App/OperatorClient.h"
+#include "Wire/JsonText.h"
 
 namespace camphorstep {
 
@@ -66,10 +67,7 @@
 HostLine
 ReadLine(const std::string& aBody)
 {
-  std::istringstream in(aBody);
-  cxxtools::JsonDeserializer deserializer(in);
-  cxxtools::SerializationInfo info;
-  deserializer.deserialize(info);
+  const cxxtools::SerializationInfo info = ParseJsonObject(aBody);
   HostLine line;
   line.mHost = MemberText(info, "host");
   info.getMember("version", line.mVersion);
--- a/Source/Load/HttpCaller.cpp
+++ b/Source/Load/HttpCaller.cpp
@@ -6,6 +6,8 @@
 #include <cxxtools/json.h>
 #include <cxxtools/serializationinfo.h>
 
+#include "Wire/JsonText.h"
+
 namespace camphorstep {
 
 namespace {
@@ -53,10 +55,7 @@
 CallResult
 ParseCallResult(const std::string& aBody)
 {
-  std::istringstream in(aBody);
-  cxxtools::JsonDeserializer deserializer(in);
-  cxxtools::SerializationInfo info;
-  deserializer.deserialize(info);
+  const cxxtools::SerializationInfo info = ParseJsonObject(aBody);
   CallResult result;
   result.mAnswered = true;
   info.getMember("code", result.mCode);
--- a/Source/Load/LinkControl.cpp
+++ b/Source/Load/LinkControl.cpp
@@ -1,21 +1,17 @@
 #include "Load/LinkControl.h"
 
-#include <sstream>
-
-#include <cxxtools/json.h>
 #include <cxxtools/serializationinfo.h>
 
 #include "Load/ControlPage.h"
+#include "Wire/JsonText.h"
 
 namespace camphorstep {
 
 LinkBytes
 ReadLinkBytes(const Address& aControl)
 {
-  std::istringstream in(FetchControlPage(aControl, "/status", {}));
-  cxxtools::JsonDeserializer deserializer(in);
-  cxxtools::SerializationInfo info;
-  deserializer.deserialize(info);
+  const cxxtools::SerializationInfo info =
+    ParseJsonObject(FetchControlPage(aControl, "/status", {}));
   LinkBytes bytes;
   info.getMember("bytes_forward") >>= bytes.mForward;
   info.getMember("bytes_back") >>= bytes.mBack;
--- a/Source/Shell/CallerListener.cpp
+++ b/Source/Shell/CallerListener.cpp
@@ -20,9 +20,9 @@
 #include "Shell/Clock.h"
 #include "Shell/HttpAnswer.h"
 #include "Shell/InputGuard.h"
-#include "Shell/JsonBody.h"
 #include "Shell/RequestFraming.h"
 #include "Shell/UnknownPathService.h"
+#include "Wire/JsonText.h"
 
 namespace camphorstep {
 
--- a/Source/Shell/OperatorJson.cpp
+++ b/Source/Shell/OperatorJson.cpp
@@ -1,6 +1,6 @@
 #include "Shell/OperatorJson.h"
 
-#include "Shell/JsonBody.h"
+#include "Wire/JsonText.h"
 
 #include <sstream>
 #include <stdexcept>
--- a/Source/Wire/StoreJson.cpp
+++ b/Source/Wire/StoreJson.cpp
@@ -8,6 +8,7 @@
 #include <cxxtools/serializationinfo.h>
 
 #include "Common/NamedEnum.h"
+#include "Wire/JsonText.h"
 
 namespace camphorstep {
 
@@ -138,9 +139,8 @@
 void
 Read(const std::string& aText, T& aValue)
 {
-  std::istringstream in(aText);
   T value{};
-  in >> cxxtools::Json(value);
+  ParseJson(aText) >>= value;
   aValue = std::move(value);
 }
 
--- a/Tests/Decoders/Decoders.cpp
+++ b/Tests/Decoders/Decoders.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 
 #include "Entry/SessionToken.h"
+#include "Gateway/PeerMessage.h"
 #include "Messages/ServerMessage.h"
 #include "Model/Profile.h"
 #include "Settings/Settings.h"
@@ -11,6 +12,9 @@
 #include "Wire/Codec.h"
 #include "Wire/Frame.h"
 #include "Wire/PeerFrame.h"
+#include "platform/Json.h"
+#include "platform/Rows.h"
+#include "platform/WireText.h"
 
 namespace camphorstep::fuzz {
 
@@ -103,6 +107,45 @@
   }
 }
 
+void
+DecodeStoreRows(const std::string& aBytes)
+{
+  // As the value of a row that another writer put there, and as an answer.
+  const std::string row = R"({"Key":"copies/k","Ver":1,"Value":")" +
+                          platform::WriteBase64(aBytes) + R"("})";
+  const std::string answer = R"({"rows":[)" + row + R"(],"Ver":2,"NowMs":3})";
+  for (const gateway::Table table : { gateway::Table::Operator,
+                                      gateway::Table::Servers,
+                                      gateway::Table::Fleet }) {
+    gateway::TableAnswer rows;
+    rows.mTable = table;
+    platform::ReadRows(answer, 0, rows);
+    try {
+      platform::ReadRows(aBytes, 0, rows);
+    } catch (const std::exception&) {
+      continue;
+    }
+  }
+  gateway::StoreWritten written;
+  platform::ReadReceipt(aBytes, 0, written);
+}
+
+void
+DecodeGatewayPeer(const std::string& aBytes)
+{
+  RoundTrip<gateway::PeerMessage>(aBytes);
+}
+
+void
+DecodeServerLine(const std::string& aBytes)
+{
+  platform::ReadStatement(aBytes);
+  platform::ReadStatus(aBytes);
+  gateway::BackendReply reply;
+  platform::ReadError(aBytes, reply);
+  platform::ReadReady(aBytes, reply);
+}
+
 void
 DecodeProfiles(const std::string& aBytes)
 {
--- a/Tests/Decoders/Decoders.h
+++ b/Tests/Decoders/Decoders.h
@@ -14,5 +14,8 @@
 void DecodeSessionToken(const std::string& aBytes);
 void DecodeSettings(const std::string& aBytes);
 void DecodeProfiles(const std::string& aBytes);
+void DecodeStoreRows(const std::string& aBytes);
+void DecodeGatewayPeer(const std::string& aBytes);
+void DecodeServerLine(const std::string& aBytes);
 
 }
--- a/Tests/Decoders/FuzzTarget.cpp
+++ b/Tests/Decoders/FuzzTarget.cpp
@@ -25,6 +25,9 @@
   DecoderRow{ "session-token", DecodeSessionToken },
   DecoderRow{ "settings", DecodeSettings },
   DecoderRow{ "profiles", DecodeProfiles },
+  DecoderRow{ "store-rows", DecodeStoreRows },
+  DecoderRow{ "gateway-peer", DecodeGatewayPeer },
+  DecoderRow{ "server-line", DecodeServerLine },
 };
 
 const DecoderRow* gDecoder = nullptr;
--- a/Tests/Platform/RowsTest.cpp
+++ b/Tests/Platform/RowsTest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "Wire/JsonText.h"
 #include "platform/Json.h"
 #include "platform/Rows.h"
 
@@ -93,7 +94,7 @@
 {
   const std::string host =
     WriteHostTransaction({ "h1", { "10.0.0.1", 7440 }, "z", 42, 250 });
-  const auto info = ParseJson(host);
+  const auto info = ParseJsonObject(host);
   const auto& put = info.getMember("Puts").getMember(0);
   CHECK(TextOf(put, "Key") == "host/h1");
   TableAnswer answer;
@@ -104,7 +105,7 @@
   CHECK(answer.mHosts[0].mEntry->mIncarnation == 42);
   CHECK(answer.mHosts[0].mEntry->mProcessorShare == 250);
   const std::string lease = WriteLeaseTransaction({ "h1", 42, 3, 11 });
-  const auto transaction = ParseJson(lease);
+  const auto transaction = ParseJsonObject(lease);
   const auto& condition = transaction.getMember("Precondition").getMember(0);
   CHECK(NumberOf(condition, "Ver") == 11);
   TableAnswer seen;
@@ -136,6 +137,31 @@
   CHECK_FALSE(answer.mServers[0].mEntry);
 }
 
+TEST_CASE("An entry of bytes that cannot be read names nothing", "[Rows]")
+{
+  // Guards against bytes with which the library's JSON reader ends the process.
+  const std::string kUnreadable =
+    *ReadBase64("eyJkYXRhYwAAAAAAAAAAZXMAAAAAAAAAAABzaW9uIjr0IaKz//8AACJBiUFBQS"
+                "J9");
+  TableAnswer answer;
+  answer.mTable = Table::Servers;
+  ReadRows(Body(Row("i-1", kUnreadable) + "," + Row("i-2", kServer)), answer);
+  REQUIRE(answer.mServers.size() == 2);
+  CHECK_FALSE(answer.mServers[0].mEntry);
+  CHECK(answer.mServers[1].mEntry);
+}
+
+TEST_CASE("A row whose key cannot be read does not hide the others", "[Rows]")
+{
+  TableAnswer answer;
+  answer.mTable = Table::Servers;
+  ReadRows(Body(Row("i-\xf4\x21", kServer) + "," + Row("i-2", kServer)),
+           answer);
+  REQUIRE(answer.mServers.size() == 2);
+  CHECK(answer.mServers[1].mKey == "i-2");
+  CHECK(answer.mServers[1].mEntry);
+}
+
 TEST_CASE("Base64 that cannot be read gives nothing", "[Rows]")
 {
   CHECK(ReadBase64(WriteBase64("abc")) == "abc");
@@ -183,7 +209,8 @@
   CHECK(gateway::NumberOf(answer.mVersion) == 9);
   REQUIRE(answer.mLease);
   CHECK(EraOf(answer.mLease->mRowVersion) == 2);
-  const auto transaction = ParseJson(WriteLeaseTransaction(*answer.mLease));
+  const auto transaction =
+    ParseJsonObject(WriteLeaseTransaction(*answer.mLease));
   const auto& condition = transaction.getMember("Precondition").getMember(0);
   CHECK(platform::NumberOf(condition, "Ver") == 7);
   StoreWritten written;
--- a/Tests/Platform/Standin/SiteStandin.cpp
+++ b/Tests/Platform/Standin/SiteStandin.cpp
@@ -3,6 +3,7 @@
 #include <future>
 #include <utility>
 
+#include "Wire/JsonText.h"
 #include "platform/Json.h"
 
 namespace camphorstep::standin {
@@ -56,11 +57,19 @@
       mGroup.NameOf(n),
       ServerEntryText(address.mIp + ":" + std::to_string(address.mPort)));
   }
-  mStore.Put("servers", "i-stranger", "not an entry");
+  PutForeignEntries();
   cxxtools::connect(mLoop.event, *this, &SiteStandin::OnWake);
   mThread = std::thread([this] { mLoop.run(); });
 }
 
+void
+SiteStandin::PutForeignEntries()
+{
+  mStore.Put("servers", "i-stranger", "not an entry");
+  mStore.Put("servers", "i-nested", std::string(40'000, '['));
+  mStore.Put("servers", "i-bytes", "{\"d\xf4!\xa2\xb3\xff\":\xf4!\xa2\xb3}");
+}
+
 SiteStandin::~SiteStandin()
 {
   Do([this] { mLoop.exit(); });
@@ -132,7 +141,7 @@
 void
 SiteStandin::HandlePromotion(const HttpRequest& aRequest)
 {
-  const auto order = platform::ParseJson(aRequest.mBody);
+  const auto order = ParseJsonObject(aRequest.mBody);
   mOrders.emplace_back(
     aRequest.mHeaders.at("camphorstep-lease-holder"),
     std::stoull(aRequest.mHeaders.at("camphorstep-fencing-token")));
--- a/Tests/Platform/Standin/SiteStandin.h
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -58,6 +58,8 @@
   }
 
 private:
+  /// Writes entries of other writers among those of the servers.
+  void PutForeignEntries();
   Address At(int aOffset) const;
   std::vector<Address> ServerAddresses(std::size_t aServerCount) const;
   void HandlePromotion(const HttpRequest& aRequest);
--- a/Tests/Platform/Standin/StoreStandin.cpp
+++ b/Tests/Platform/Standin/StoreStandin.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "Wire/JsonText.h"
 #include "platform/Json.h"
 
 namespace camphorstep::standin {
@@ -131,7 +132,7 @@
 void
 StoreStandin::HandleTransaction(const HttpRequest& aRequest)
 {
-  const auto body = platform::ParseJson(aRequest.mBody);
+  const auto body = ParseJsonObject(aRequest.mBody);
   for (const auto& condition : body.getMember("Precondition")) {
     const auto it = mRows.find({ *platform::TextOf(condition, "Table"),
                                  *platform::TextOf(condition, "Key") });
