--- a/Source/Shell/StoreClient.cpp
+++ b/Source/Shell/StoreClient.cpp
@@ -8,6 +8,7 @@
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
 
+#include "Common/Log.h"
 #include "Wire/StoreJson.h"
 
 namespace camphorstep {
@@ -43,6 +44,14 @@
   }
 }
 
+void
+LogFailure(const char* aCall, const std::exception& aError)
+{
+  WriteLog(LogLevel::Warning,
+           "call to the table service failed",
+           { { "call", aCall }, { "error", aError.what() } });
+}
+
 }
 
 StoreClient::StoreClient(EventSink& aSink, const Address& aAddress)
@@ -76,7 +85,8 @@
         Call(aClient, "/v1/table/query", ToJson(aEffect.mQuery));
       FromJson(body, answered.mRows);
       answered.mStatus = StoreStatus::Ok;
-    } catch (const std::exception&) {
+    } catch (const std::exception& ex) {
+      LogFailure("query", ex);
       answered.mRows.clear();
     }
     return answered;
@@ -95,7 +105,8 @@
         commit);
       answered.mStatus =
         commit.mCommitted ? StoreStatus::Ok : StoreStatus::Conflict;
-    } catch (const std::exception&) {
+    } catch (const std::exception& ex) {
+      LogFailure("transact", ex);
       answered.mStatus = StoreStatus::Unknown;
     }
     return answered;
@@ -110,7 +121,8 @@
     try {
       FromJson(Call(aClient, "/v1/hosts", ""), answered.mMachines);
       answered.mStatus = StoreStatus::Ok;
-    } catch (const std::exception&) {
+    } catch (const std::exception& ex) {
+      LogFailure("hosts", ex);
       answered.mMachines.clear();
     }
     return answered;
--- a/Source/Wire/StoreJson.cpp
+++ b/Source/Wire/StoreJson.cpp
@@ -7,6 +7,7 @@
 #include <cxxtools/json.h>
 #include <cxxtools/serializationinfo.h>
 
+#include "Common/Log.h"
 #include "Common/NamedEnum.h"
 #include "Wire/JsonText.h"
 
@@ -203,7 +204,19 @@
 void
 FromJson(const std::string& aText, std::vector<ListedMachine>& aMachines)
 {
-  Read(aText, aMachines);
+  std::vector<ListedMachine> machines;
+  for (const cxxtools::SerializationInfo& item : ParseJson(aText)) {
+    try {
+      ListedMachine machine;
+      item >>= machine;
+      machines.push_back(std::move(machine));
+    } catch (const std::exception& ex) {
+      WriteLog(LogLevel::Warning,
+               "machine of the list cannot be read",
+               { { "error", ex.what() } });
+    }
+  }
+  aMachines = std::move(machines);
 }
 
 }
--- a/Tests/Platform/RowsTest.cpp
+++ b/Tests/Platform/RowsTest.cpp
@@ -151,6 +151,53 @@
   CHECK(answer.mServers[1].mEntry);
 }
 
+TEST_CASE("An entry with a number or a port out of range names nothing",
+          "[Rows]")
+{
+  // Guards against numbers that wrap round to usable ones.
+  const auto entry = [](const std::string& aAddress,
+                        const std::string& aCapacity,
+                        const std::string& aBorn) {
+    return R"({"Service":"g","Address":")" + aAddress +
+           R"(","Zone":"z","Capacity":)" + aCapacity +
+           R"(,"State":"ready","DbRole":"replica","born":)" + aBorn + "}";
+  };
+  const std::string kGood = "10.0.0.9:8080";
+  const std::string kHuge(400, '9');
+  std::string rows = Row("i-good", entry(kGood, "5", "17"));
+  const std::vector<std::string> odd{
+    entry("10.0.0.9:0", "5", "17"),
+    entry("10.0.0.9:65536", "5", "17"),
+    entry("10.0.0.9:99999999999999999999", "5", "17"),
+    entry("10.0.0.9:-1", "5", "17"),
+    entry("10.0.0.9:", "5", "17"),
+    entry("10.0.0.999:80", "5", "17"),
+    entry("10.0.0.9:8\u00e90", "5", "17"),
+    entry(kGood, "0", "17"),
+    entry(kGood, "-1", "17"),
+    entry(kGood, "4294967301", "17"),
+    entry(kGood, kHuge, "17"),
+    entry(kGood, "1e400", "17"),
+    entry(kGood, "5", "-1"),
+    entry(kGood, "5", "9223372036854775807"),
+    entry(kGood, "5", kHuge),
+    entry(kGood, "5", "1.5"),
+    entry(kGood, "5", "\"17\""),
+  };
+  for (const std::string& value : odd) {
+    rows += "," + Row("i-odd", value);
+  }
+  TableAnswer answer;
+  answer.mTable = Table::Servers;
+  ReadRows(Body(rows), answer);
+  REQUIRE(answer.mServers.size() == odd.size() + 1);
+  CHECK(answer.mServers[0].mEntry);
+  for (std::size_t n = 0; n < odd.size(); ++n) {
+    INFO(odd[n].substr(0, 200));
+    CHECK_FALSE(answer.mServers[n + 1].mEntry);
+  }
+}
+
 TEST_CASE("A row whose key cannot be read does not hide the others", "[Rows]")
 {
   TableAnswer answer;
@@ -162,6 +209,23 @@
   CHECK(answer.mServers[1].mEntry);
 }
 
+TEST_CASE("Times of a configuration that are too large are limited", "[Rows]")
+{
+  // Guards against an overflow when milliseconds become microseconds.
+  TableAnswer answer;
+  ReadRows(
+    Body(
+      Row("config",
+          R"({"Version":7,"Routes":[{"Name":"r","Host":"db","Kind":"primary",)"
+          R"("TimeoutMs":9223372036854775807,"TargetLatencyMs":500,)"
+          R"("Priority":2,"Service":"g"}],"Services":[)"
+          R"({"Name":"g","MaxConns":9223372036854775807}]})")),
+    answer);
+  REQUIRE(answer.mRouting);
+  CHECK(answer.mRouting->mRoutes[0].mStatementTimeout > std::chrono::hours(1));
+  CHECK(answer.mRouting->mGroups[0].mMaxConnections > 1'000);
+}
+
 TEST_CASE("Base64 that cannot be read gives nothing", "[Rows]")
 {
   CHECK(ReadBase64(WriteBase64("abc")) == "abc");
--- a/Tests/Wire/JsonTextTest.cpp
+++ b/Tests/Wire/JsonTextTest.cpp
@@ -75,3 +75,19 @@
   REQUIRE(rows.size() == 1);
   CHECK(rows[0].mVersion == 3);
 }
+
+TEST_CASE("A machine of the list that cannot be read does not hide the others",
+          "[StoreJson]")
+{
+  // Guards against a list that is not followed any longer.
+  std::vector<ListedMachine> machines;
+  FromJson(R"([{"name":"a","kind":"teapot","leaving":false,"generation":1},)"
+           R"({"name":"b","kind":"server","leaving":false,)"
+           R"("generation":99999999999999999999},)"
+           R"({"kind":"server"},5,{"name":[[[]]]},)"
+           R"({"name":"c","kind":"server","leaving":true,"generation":2}])",
+           machines);
+  REQUIRE(machines.size() == 1);
+  CHECK(machines[0].mName == "c");
+  CHECK(machines[0].mGeneration == 2);
+}
