Group: Count a primary's silence from the promoter's own start

Cause: silence was counted from the last message to this host. A host that gets its statuses from others, or whose evidence is fresh, asks the servers nothing until it is the promoter, so the time before counted as silence.

Change: silence counts from the moment in which the host took the lease from another one, and the new promoter samples all groups at once.

Test: "A new promoter counts a primary's silence from its own start" failed before (a promotion was requested, the primary had stepped down) and passes.

--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -165,6 +165,15 @@
   WriteLeaseRow(aContext, lease, std::move(copies));
 }
 
+void
+SampleAllGroups(Context& aContext)
+{
+  for (const auto& [id, group] : aContext.mState.mGroups) {
+    aContext.mState.mTimers.ArmSooner(
+      TimerKind::SampleGroup, id.mValue, aContext.mNow);
+  }
+}
+
 void
 ApplyLeaseWrite(Context& aContext,
                 std::uint64_t aRowVersion,
@@ -193,6 +202,7 @@
   if (isNew && !isNext && !wasHeld) {
     promoter.mHasReadCopies = false;
     RereadTable(aContext, Table::Fleet);
+    SampleAllGroups(aContext);
   }
   if (isNew) {
     Log(aContext,
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -37,9 +37,12 @@
 bool
 IsDown(const Context& aContext, const Backend& aBackend)
 {
-  // During a stall this host could not receive messages.
+  // During a stall this host could not receive messages, and before it became
+  // the promoter it did not send any.
   const Instant lastContact =
-    std::max(aBackend.mLastReceivedAt, aContext.mState.mResumedAt);
+    std::max({ aBackend.mLastReceivedAt,
+               aContext.mState.mResumedAt,
+               aContext.mState.mPromoter.mHeldSince });
   return aContext.mNow - lastContact > kPrimarySilenceTimeout ||
          (aBackend.mRefusals >= kRefusalsUntilDown && !aBackend.mControlLink);
 }
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -406,3 +406,29 @@
   CHECK(driver.Server(OtherReplica(*promotion)).mPauseTerm == 0);
   CHECK(driver.mState.mCounters.mPromotions == 1);
 }
+
+TEST_CASE("A new promoter counts a primary's silence from its own start",
+          "[Takeover]")
+{
+  // Guards against replacing a primary that was not asked anything.
+  GatewayDriver driver;
+  PromoterState& promoter = driver.mState.mPromoter;
+  promoter.mHeldUntil = Instant{};
+  promoter.mLease.mHolder = "";
+  promoter.mLease.mToken += 5;
+  driver.mState.mCatalogue.mTables.at(2).mCall = gateway::CallId{};
+  for (auto& [id, backend] : driver.mState.mBackends) {
+    backend.mLastReceivedAt = driver.mNow - 10s;
+  }
+  SECTION("and keeps one that answers")
+  {
+    CHECK_FALSE(RunUntilPromotion(driver, 5s));
+    CHECK(driver.Server("s1").mPrimary);
+    CHECK(driver.Server("s2").mPauseTerm == 0);
+  }
+  SECTION("and replaces one that does not")
+  {
+    driver.Server("s1").mDown = true;
+    CHECK(RunUntilPromotion(driver, 5s));
+  }
+}
