Group: Keep counting a former server that still answers

Once another replica had the primary's position, the copy was dropped, and a takeover would have needed only that other replica. Before the lists of copies a process that had seen the server never dropped it.

Change: a server that has answered within 1 s before it is removed counts until it is listed again. A log line says so.

Test: "A server that answers without being listed counts".

--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -200,7 +200,7 @@
     if (group->mPrimary == aServer) {
       group->mPrimary = ServerId{};
     }
-    NoteFormerCopy(aContext, *group, backend.mEntry);
+    NoteFormerCopy(aContext, *group, backend);
   }
   CloseAllLinks(aContext, backend);
   RerouteQueue(aContext, backend);
--- a/Source/Group/Copies.cpp
+++ b/Source/Group/Copies.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Gateway/Tuning.h"
 #include "Group/Promoter.h"
 
 namespace camphorstep::gateway {
@@ -12,6 +13,10 @@
 /// The most lists in one write; the store accepts 100 rows in a transaction.
 constexpr std::size_t kMaxListsPerWrite = 50;
 
+/// A server from which a message has arrived within this time runs. Shorter
+/// than kMissingEntryGrace, so that a server that has left is silent by then.
+constexpr Duration kAnsweringTimeout = 1s;
+
 DataCopy
 CopyOf(const ServerEntry& aEntry)
 {
@@ -130,9 +135,18 @@
 }
 
 void
-NoteFormerCopy(Context& aContext, Group& aGroup, const ServerEntry& aEntry)
+NoteFormerCopy(Context& aContext, Group& aGroup, const Backend& aBackend)
 {
-  aGroup.mFormerCopies.push_back({ CopyOf(aEntry), aContext.mNow });
+  const bool isAnswering =
+    aContext.mNow - aBackend.mLastReceivedAt < kAnsweringTimeout;
+  aGroup.mFormerCopies.push_back(
+    { CopyOf(aBackend.mEntry), aContext.mNow, isAnswering });
+  if (isAnswering) {
+    Log(aContext,
+        LogSeverity::Warning,
+        "a server that is not listed any more still answers",
+        { { "group", aGroup.mName }, { "server", aBackend.mEntry.mName } });
+  }
 }
 
 void
@@ -149,7 +163,8 @@
     return;
   }
   for (FormerCopy& former : aGroup.mFormerCopies) {
-    if (former.mIsCovered || primary->mStatusAskedAt <= former.mSince) {
+    if (former.mIsCovered || former.mIsAnswering ||
+        primary->mStatusAskedAt <= former.mSince) {
       continue;
     }
     former.mIsCovered = true;
--- a/Source/Group/Copies.h
+++ b/Source/Group/Copies.h
@@ -18,9 +18,7 @@
 void NoteListedCopy(Group& aGroup, const ServerEntry& aEntry);
 
 /// Notes that a server is no longer listed.
-void NoteFormerCopy(Context& aContext,
-                    Group& aGroup,
-                    const ServerEntry& aEntry);
+void NoteFormerCopy(Context& aContext, Group& aGroup, const Backend& aBackend);
 
 /// Stops counting former copies that are not needed any longer: a listed
 /// replica has all writes that the primary had after the server was gone. The
--- a/Tests/Gateway/CopiesTest.cpp
+++ b/Tests/Gateway/CopiesTest.cpp
@@ -147,6 +147,23 @@
   CHECK(driver.mStoredCopies[0].mCopies.size() == 4);
 }
 
+TEST_CASE("A server that answers without being listed counts", "[Copies]")
+{
+  // Guards against promoting a replica while a server that cannot reach the
+  // store acknowledges writes.
+  GatewayDriver driver;
+  AddServer(driver, "s4");
+  ChangeListing(driver, "s4", false);
+  driver.Run(kMissingEntryGrace + 100ms);
+  ChangeListing(driver, "unknown", false);
+  driver.Run(kUntilRecorded);
+  CHECK(GroupOf(driver).mServers.size() == 3);
+  CHECK(CountCopies(GroupOf(driver)) == 4);
+  ChangeListing(driver, "s4", true);
+  CHECK(CountCopies(GroupOf(driver)) == 4);
+  CHECK(GroupOf(driver).mFormerCopies.empty());
+}
+
 TEST_CASE("A former server counts until the store has the shorter list",
           "[Copies]")
 {
