Group: Take a former server's writes as kept from its delisting on

Cause, in the log: the former server was removed from the list 2.5 s after its entry was gone, and only positions that the primary reported after that counted.

If it has answered, it counts until it is listed again, as before.

Test: "A primary that is lost soon after a former server is replaced" failed before and passes.

--- a/Source/Group/Copies.cpp
+++ b/Source/Group/Copies.cpp
@@ -13,10 +13,6 @@
 /// The most lists in one write; the store accepts 100 rows in a transaction.
 constexpr std::size_t kMaxListsPerWrite = 50;
 
-/// A server from which a message has arrived within this time runs. Shorter
-/// than kMissingEntryGrace, so that a server that has left is silent by then.
-constexpr Duration kAnsweringTimeout = 1s;
-
 DataCopy
 CopyOf(const ServerEntry& aEntry)
 {
@@ -137,10 +133,10 @@
 void
 NoteFormerCopy(Context& aContext, Group& aGroup, const Backend& aBackend)
 {
-  const bool isAnswering =
-    aContext.mNow - aBackend.mLastReceivedAt < kAnsweringTimeout;
+  const Instant since = aBackend.mMissingSince.value_or(aContext.mNow);
+  const bool isAnswering = aBackend.mLastReceivedAt > since;
   aGroup.mFormerCopies.push_back(
-    { CopyOf(aBackend.mEntry), aContext.mNow, isAnswering });
+    { CopyOf(aBackend.mEntry), since, isAnswering });
   if (isAnswering) {
     Log(aContext,
         LogSeverity::Warning,
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -72,10 +72,10 @@
 struct FormerCopy
 {
   DataCopy mCopy;
-  /// Since when the server is known to be gone.
+  /// Since when the server has not been listed.
   Instant mSince;
-  /// Whether the server answered until it was given up. Then it may still
-  /// acknowledge writes, and counts until it is listed again.
+  /// Whether the server has answered since. Then it may still acknowledge
+  /// writes, and counts until it is listed again.
   bool mIsAnswering = false;
   /// Whether a listed replica has all that it may have acknowledged.
   bool mIsCovered = false;
--- a/Tests/Gateway/CopiesTest.cpp
+++ b/Tests/Gateway/CopiesTest.cpp
@@ -135,6 +135,21 @@
   CHECK(RunUntilPromotion(driver, 4s));
 }
 
+TEST_CASE("A primary that is lost soon after a former server is replaced",
+          "[Copies]")
+{
+  // Guards against a group that waits for both of them.
+  GatewayDriver driver;
+  AddServer(driver, "s4");
+  driver.Server("s4").mDown = true;
+  ChangeListing(driver, "s4", false);
+  driver.Run(1s);
+  driver.Server("s1").mDown = true;
+  driver.Run(kMissingEntryGrace);
+  ChangeListing(driver, "unknown", false);
+  CHECK(RunUntilPromotion(driver, 4s));
+}
+
 TEST_CASE("A former server counts while no replica has its writes", "[Copies]")
 {
   // Guards against trusting a replica that lags behind the primary.
