--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -110,7 +110,9 @@
   std::vector<GroupCopies> mCopies;
 };
 
-/// Requests the platform to promote a server. Answered by PromoteAnswered.
+/// Requests the platform to promote a server. Answered by PromoteAnswered. The
+/// platform gets the request before mExpiresAt or never: the connection is
+/// reset then, so that no request outlives the lease under which it was made.
 struct PromoteServer
 {
   CallId mCall;
@@ -118,6 +120,7 @@
   std::string mServer;
   std::string mHolder;
   std::uint64_t mToken = 0;
+  Instant mExpiresAt;
 };
 
 /// Sends a query to another host. Answered by a report, or by an event that the
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -116,6 +116,8 @@
 
 // Percentages of the grace time of a planned stop.
 /// Until then a stopping host accepts new sessions, since the load balancer may
+/// A request to promote a server that has no answer for this long is given up.
+constexpr Duration kPromoteTimeout = 1'500ms;
 /// not have seen yet that it is not ready.
 constexpr int kStopNoticePercent = 42;
 /// From then on open transactions are rolled back. More than half of the grace
--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -154,6 +154,17 @@
   WriteLeaseRow(aContext, lease);
 }
 
+/// Whether the platform may still get an order to promote of this host's.
+bool
+HasOrderUnderway(const Context& aContext)
+{
+  const auto& groups = aContext.mState.mGroups;
+  return std::any_of(groups.begin(), groups.end(), [](const auto& aEntry) {
+    const Takeover& takeover = aEntry.second.mTakeover;
+    return takeover.mPhase == TakeoverPhase::Promoting && takeover.mCall;
+  });
+}
+
 void
 ReleaseLease(Context& aContext)
 {
@@ -317,7 +328,8 @@
   const bool isHeld =
     promoter.mIsKnown && IsOwnLease(aContext, promoter.mLease);
   if (aContext.mState.mStop.mUnderway) {
-    if (isHeld) {
+    // The next holder may give orders at once.
+    if (isHeld && !HasOrderUnderway(aContext)) {
       ReleaseLease(aContext);
     }
   } else if (isHeld && HoldsPromoterLease(aContext) &&
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -163,6 +163,15 @@
 }
 
 void
+/// When a request to promote a server that is made now is given up. The lease
+/// has not ended then.
+Instant
+OrderExpiry(const Context& aContext)
+{
+  return std::min(aContext.mNow + kPromoteTimeout,
+                  aContext.mState.mPromoter.mHeldUntil);
+}
+
 RequestPromotion(Context& aContext, Group& aGroup, const Backend& aCandidate)
 {
   Takeover& takeover = aGroup.mTakeover;
@@ -185,7 +194,8 @@
                       aGroup.mName,
                       aCandidate.mEntry.mName,
                       lease.mHolder,
-                      lease.mToken });
+                      lease.mToken,
+                      OrderExpiry(aContext) });
   SetPhase(aContext, aGroup, TakeoverPhase::Promoting);
 }
 
--- a/Source/Shell/StreamSocket.cpp
+++ b/Source/Shell/StreamSocket.cpp
@@ -25,6 +25,17 @@
   ::setsockopt(aSocket, aLevel, aOption, &aValue, sizeof(aValue));
 }
 
+/// Whether a connection that has failed was reset by the other side, or by the
+/// system for its silence, rather than closed.
+bool
+IsReset(int aSocket)
+{
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE;
+}
+
 /// Whether an error shows that the other side's machine is there.
 bool
 IsAnswer(int aError)
@@ -78,6 +89,15 @@
   }
 }
 
+void
+StreamSocket::ResetOnClose()
+{
+  mResetOnClose = true;
+  if (mConnected) {
+    Prepare();
+  }
+}
+
 void
 StreamSocket::Append(std::string_view aBytes)
 {
@@ -208,6 +228,10 @@
     SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
     SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, 2);
   }
+  if (mResetOnClose) {
+    const linger none{ 1, 0 };
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+  }
 }
 
 /// Gives the socket what it takes at once, which saves a turn of the loop.
@@ -253,6 +277,7 @@
   if (mClosed) {
     return;
   }
+  mWasReset = IsReset(mSocket.getFd());
   Close();
   mHandlers.mOnClosed(aAnswered);
 }
--- a/Source/Shell/StreamSocket.h
+++ b/Source/Shell/StreamSocket.h
@@ -48,6 +48,10 @@
   /// or keep-alive probes unanswered, for this long.
   void LimitSilence(std::chrono::milliseconds aLimit);
 
+  /// Has the connection be reset, not closed, however it ends, also with its
+  /// process. Bytes that the other side does not have yet are dropped then.
+  void ResetOnClose();
+
   /// Adds bytes that the next Flush sends.
   void Append(std::string_view aBytes);
 
@@ -62,6 +66,8 @@
 
   bool IsClosed() const { return mClosed; }
   bool IsConnected() const { return mConnected; }
+  /// Whether the other side has reset the connection.
+  bool WasReset() const { return mWasReset; }
 
 private:
   void OnConnected(cxxtools::net::TcpSocket& aSocket);
@@ -83,6 +89,8 @@
   bool mConnected = false;
   bool mClosed = false;
   bool mCloseWhenSent = false;
+  bool mResetOnClose = false;
+  bool mWasReset = false;
 };
 
 }
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -222,6 +222,41 @@
   driver.Run(500ms);
   driver.mNow += 1500ms;
   CHECK_FALSE(RunUntilPromotion(driver, 4s));
+TEST_CASE("An order to promote is given up before its sender's lease ends",
+          "[Takeover]")
+{
+  // Guards against orders that reach the platform after those of the next
+  // holder.
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  // The last renewal before the order is answered late.
+  driver.mState.mPromoter.mHeldUntil = driver.mNow + 2'500ms;
+  driver.mState.mTimers.Cancel(TimerKind::PromoterLease, 0);
+  const auto promotion = RunUntilPromotion(driver, 4s);
+  REQUIRE(promotion);
+  CHECK(promotion->mExpiresAt == driver.mState.mPromoter.mHeldUntil);
+}
+
+TEST_CASE("The lease is not released while an order to promote is underway",
+          "[Promoter]")
+{
+  // Guards against a next holder whose orders overtake the one underway.
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  const auto promotion = RunUntilPromotion(driver, 4s);
+  REQUIRE(promotion);
+  while (driver.Take<WriteLease>()) {
+  }
+  driver.Deliver(StopRequested{});
+  driver.AdvanceTime(500ms);
+  CHECK_FALSE(driver.Take<WriteLease>());
+  driver.Deliver(PromoteAnswered{ promotion->mCall, CallOutcome::Unknown });
+  driver.AdvanceTime(500ms);
+  const auto release = driver.Take<WriteLease>();
+  REQUIRE(release);
+  CHECK(release->mLease.mHolder.empty());
+}
+
   CHECK(driver.Server("s1").mPrimary);
   SECTION("but detects a primary that is")
   {
--- a/Tests/Platform/PathTest.cpp
+++ b/Tests/Platform/PathTest.cpp
@@ -113,6 +113,35 @@
   }
 }
 
+TEST_CASE("An order to promote does not arrive after the next promoter's",
+          "[Path]")
+{
+  // Guards against orders that outlive their sender's lease: one that was held
+  // up on the way was carried out after those of the next holder.
+  standin::SiteStandin site(kSitePort);
+  site.Publish(3, { "main" });
+  auto gateway = std::make_unique<LocalGateway>(kGatewayPort, kSitePort);
+  REQUIRE(OpenWhenServed(kGatewayPort, "main"));
+  site.Do([&] {
+    site.Promotions().SetHoldingUp(true);
+    site.Group().Kill(0);
+  });
+  REQUIRE(
+    WaitFor(site, 6s, [&] { return site.Promotions().CountHeldUp() > 0; }));
+  gateway.reset();
+  site.Do([&] { site.Promotions().SetHoldingUp(false); });
+  gateway = std::make_unique<LocalGateway>(kGatewayPort, kSitePort);
+  REQUIRE(WaitFor(site, 8s, [&] { return !site.Orders().empty(); }));
+  site.Do([&] {
+    site.Promotions().DeliverHeldUp();
+    std::uint64_t newest = 0;
+    for (const auto& [holder, token] : site.Orders()) {
+      CHECK(token >= newest);
+      newest = token;
+    }
+  });
+}
+
 TEST_CASE("A restarted promoter keeps writes that only the primary has",
           "[Path]")
 {
--- a/Tests/Platform/Standin/HttpStandin.cpp
+++ b/Tests/Platform/Standin/HttpStandin.cpp
@@ -124,9 +124,38 @@
 
 void
 HttpStandin::HandleData(std::uint64_t aClient, std::string_view aBytes)
+{
+  Client& client = mClients.at(aClient);
+  client.mInput += aBytes;
+  client.mIsHeldUp = client.mIsHeldUp || mIsHoldingUp;
+  if (!client.mIsHeldUp) {
+    HandleRequests(aClient);
+  }
+}
+
+std::size_t
+HttpStandin::CountHeldUp() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mClients.begin(), mClients.end(), [](const auto& aClient) {
+      return aClient.second.mIsHeldUp;
+    }));
+}
+
+void
+HttpStandin::DeliverHeldUp()
+{
+  for (auto& [id, client] : mClients) {
+    if (std::exchange(client.mIsHeldUp, false) && !client.mSocket->WasReset()) {
+      HandleRequests(id);
+    }
+  }
+}
+
+void
+HttpStandin::HandleRequests(std::uint64_t aClient)
 {
   std::string& input = mClients.at(aClient).mInput;
-  input += aBytes;
   for (;;) {
     const std::size_t end = input.find(kHeaderEnd);
     if (end == std::string::npos) {
--- a/Tests/Platform/Standin/HttpStandin.h
+++ b/Tests/Platform/Standin/HttpStandin.h
@@ -43,20 +43,35 @@
               const std::string& aBody,
               const std::string& aHeaders = "");
 
+  /// Holds up what arrives on connections from now on, as a network does that
+  /// is cut, or lets what arrives on further connections pass again.
+  void SetHoldingUp(bool aIsHoldingUp) { mIsHoldingUp = aIsHoldingUp; }
+
+  /// How many connections have requests that are held up.
+  std::size_t CountHeldUp() const;
+
+  /// Delivers what was held up, also on connections that were closed since. On
+  /// a connection that was reset it is lost.
+  void DeliverHeldUp();
+
 private:
   struct Client
   {
     std::unique_ptr<StreamSocket> mSocket;
     std::string mInput;
+    bool mIsHeldUp = false;
   };
 
   void OnPending(cxxtools::net::TcpServer& aListener);
   void HandleData(std::uint64_t aClient, std::string_view aBytes);
+  /// Handles the whole requests that a connection has brought.
+  void HandleRequests(std::uint64_t aClient);
 
   cxxtools::SelectorBase& mLoop;
   Handler mHandler;
   cxxtools::net::TcpServer mListener;
   std::uint64_t mLastClient = 0;
+  bool mIsHoldingUp = false;
   /// Connections are kept until the stand-in ends.
   std::unordered_map<std::uint64_t, Client> mClients;
 };
--- a/Tests/Platform/Standin/SiteStandin.h
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -49,6 +49,7 @@
   Address ServerAddress(std::size_t aServer) const;
 
   GroupStandin& Group() { return mGroup; }
+  HttpStandin& Promotions() { return mPromotions; }
   StoreStandin& Store() { return mStore; }
 
   /// Holders and fencing tokens of the orders to promote, in order.
