Group: Read the list of servers after the fence, before a promotion (LOST)

Cause: the promoter paused the servers that it had listed, and read the list once a second. A server that joined after the last read received the primary's writes, so they were acknowledged, and was outside of the fence.

Change: a promotion is requested only if the list was read after all evidence for the old primary had expired. A server that is new in it is paused first, and the wait starts again.

"A server that joins while the primary is replaced is paused too" fails with the change taken out.

--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -187,6 +187,13 @@
     .mKnown;
 }
 
+bool
+IsTableConfirmedSince(const Context& aContext, Table aTable, Instant aTime)
+{
+  return aContext.mState.mCatalogue.mTables[static_cast<std::size_t>(aTable)]
+           .mConfirmedAt >= aTime;
+}
+
 TableProgress&
 ProgressOf(Context& aContext, Table aTable)
 {
--- a/Source/Catalogue/Tables.h
+++ b/Source/Catalogue/Tables.h
@@ -8,6 +8,11 @@
 /// Whether all rows of a table are known.
 bool IsTableKnown(const Context& aContext, Table aTable);
 
+/// Whether this host knows what the store had in a table at a time or later.
+bool IsTableConfirmedSince(const Context& aContext,
+                           Table aTable,
+                           Instant aTime);
+
 TableProgress& ProgressOf(Context& aContext, Table aTable);
 
 /// Reads a table, or asks for its changes, unless that is underway.
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "Catalogue/Tables.h"
 #include "Common/NamedEnum.h"
 #include "Fleet/Silence.h"
 #include "Gateway/Tuning.h"
@@ -162,7 +163,6 @@
   ContinueFencing(aContext, aGroup);
 }
 
-void
 /// When a request to promote a server that is made now is given up. The lease
 /// has not ended then.
 Instant
@@ -172,6 +172,7 @@
                   aContext.mState.mPromoter.mHeldUntil);
 }
 
+void
 RequestPromotion(Context& aContext, Group& aGroup, const Backend& aCandidate)
 {
   Takeover& takeover = aGroup.mTakeover;
@@ -282,6 +283,11 @@
     }
     return;
   }
+  if (!IsTableConfirmedSince(aContext, Table::Servers, waitEnd)) {
+    // A server that was listed meanwhile may have acknowledged writes.
+    PollTableSoon(aContext, Table::Servers);
+    return;
+  }
   if (const Backend* const candidate = BestCandidate(aContext, aGroup)) {
     RequestPromotion(aContext, aGroup, *candidate);
   }
--- a/Tests/Gateway/GatewayDriver.cpp
+++ b/Tests/Gateway/GatewayDriver.cpp
@@ -1,6 +1,7 @@
 #include "GatewayDriver.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Gateway/Context.h"
 #include "Gateway/Step.h"
@@ -109,6 +110,10 @@
     answer.mCall = aCall;
     answer.mTable = aTable;
     answer.mOutcome = CallOutcome::Ok;
+    if (aTable == Table::Servers) {
+      answer.mServers = std::exchange(mServerChanges, {});
+      mStoreVersion += answer.mServers.size();
+    }
     answer.mVersion = mStoreVersion;
     answer.mStoreTime = mNow.time_since_epoch();
     if (aTable == Table::Fleet && aReadsAll) {
@@ -123,10 +128,15 @@
   while (const auto call = Take<ReadTable>()) {
     answerWith(call->mCall, call->mTable, true);
   }
-  // The other tables' calls wait for changes.
-  if (const auto call = TakeFleetWatch()) {
+  if (const auto call = TakeWatch(Table::Fleet)) {
     answerWith(call->mCall, call->mTable, false);
   }
+  // The other tables' calls wait for changes.
+  const CallId servers = mState.mCatalogue.mTables.at(1).mCall;
+  if (mReadsServers && servers) {
+    TakeWatch(Table::Servers);
+    answerWith(servers, Table::Servers, false);
+  }
   while (const auto call = Take<WriteLease>()) {
     StoreCopies(call->mCopies);
     Deliver(StoreWritten{ call->mCall, CallOutcome::Ok, ++mStoreVersion });
@@ -137,11 +147,11 @@
 }
 
 std::optional<WatchTable>
-GatewayDriver::TakeFleetWatch()
+GatewayDriver::TakeWatch(Table aTable)
 {
   for (auto it = mEffects.begin(); it != mEffects.end(); ++it) {
     const WatchTable* const watch = std::get_if<WatchTable>(&*it);
-    if (watch != nullptr && watch->mTable == Table::Fleet) {
+    if (watch != nullptr && watch->mTable == aTable) {
       const WatchTable found = *watch;
       mEffects.erase(it);
       return found;
--- a/Tests/Gateway/GatewayDriver.h
+++ b/Tests/Gateway/GatewayDriver.h
@@ -113,11 +113,16 @@
   std::deque<Effect> mEffects;
   std::vector<FakeServer> mServers;
   std::uint64_t mStoreVersion = 10;
+  /// What the servers have written to the store since the last read of their
+  /// table.
+  std::vector<RowChange<ServerEntry>> mServerChanges;
+  /// Whether the store answers reads of the servers' changes.
+  bool mReadsServers = false;
   /// The lists of copies in the store.
   std::vector<GroupCopies> mStoredCopies;
 
 private:
-  std::optional<WatchTable> TakeFleetWatch();
+  std::optional<WatchTable> TakeWatch(Table aTable);
   void StoreCopies(const std::vector<GroupCopies>& aCopies);
   BackendReply StatusReply(FakeServer& aServer, const BackendRequest& aRequest);
 };
--- a/Tests/Gateway/Promotions.h
+++ b/Tests/Gateway/Promotions.h
@@ -12,6 +12,7 @@
 RunUntilPromotion(GatewayDriver& aDriver, Duration aTime)
 {
   using namespace std::chrono_literals;
+  aDriver.mReadsServers = true;
   for (Duration passed{ 0 }; passed < aTime; passed += 10ms) {
     aDriver.Run(10ms);
     if (auto promotion = aDriver.Take<PromoteServer>()) {
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -88,6 +88,7 @@
   GatewayDriver driver;
   driver.Server("s1").mDown = true;
   Instant pausedAt{};
+  driver.mReadsServers = true;
   for (int n = 0; n < 400 && !driver.Take<PromoteServer>(); ++n) {
     driver.Run(10ms);
     const bool paused = driver.Server("s2").mPauseTerm != 0 &&
@@ -125,6 +126,35 @@
   CHECK(driver.Server("s2").mPauseTerm != 0);
 }
 
+TEST_CASE("A server that joins while the primary is replaced is paused too",
+          "[Takeover]")
+{
+  // Guards against promotions that lose what was acknowledged through a server
+  // that the promoter had not heard of.
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  while (driver.Server("s2").mPauseTerm == 0 ||
+         driver.Server("s3").mPauseTerm == 0) {
+    driver.Run(10ms);
+  }
+  // The store has not answered since the servers were paused.
+  driver.Run(kEvidenceTimeout + 500ms);
+  REQUIRE_FALSE(driver.Take<PromoteServer>());
+  GatewayDriver::FakeServer joined = driver.Server("s2");
+  joined.mName = "s4";
+  joined.mPauseTerm = 0;
+  joined.mIndex += 5;
+  driver.mServers.push_back(joined);
+  ServerEntry entry = driver.mState.mBackends.at(IdOf<ServerId>("s2")).mEntry;
+  entry.mName = "s4";
+  entry.mAddress.mIp = "10.0.1.4";
+  driver.mServerChanges.push_back({ "s4", entry });
+  const auto promotion = RunUntilPromotion(driver, 8s);
+  REQUIRE(promotion);
+  CHECK(promotion->mServer == "s4");
+  CHECK(driver.Server("s4").mPauseTerm != 0);
+}
+
 TEST_CASE("A host without the lease promotes no server", "[Takeover]")
 {
   GatewayDriver driver;
