--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -73,6 +73,12 @@
   /// The newest status, and when it was asked for.
   std::optional<BackendStatus> mStatus;
   Instant mStatusAskedAt;
+  /// When the newest status that shows a pause was asked for, and the server's
+  /// term in it.
+  std::optional<Instant> mPausedAt;
+  Term mPausedTerm = 0;
+  /// When the server joined its group, if this host knew the group before.
+  std::optional<Instant> mJoinedAt;
   /// When the server was last heard on any connection.
   Instant mLastReceivedAt;
   /// When a connection to it was last given up for silence.
--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -84,7 +84,10 @@
   Group& group = FindOrAddGroup(aContext, aEntry.mGroup);
   backend.mGroup = group.mId;
   group.mServers.push_back(backend.mId);
-  NoteListedCopy(group, aEntry);
+  const bool isKnownCopy = NoteListedCopy(group, aEntry);
+  if (!isKnownCopy && IsTableKnown(aContext, Table::Servers)) {
+    backend.mJoinedAt = aContext.mNow;
+  }
   Log(aContext,
       LogSeverity::Info,
       "backend server is listed",
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -17,6 +17,11 @@
 /// the statement's arrival at the server.
 constexpr Duration kEvidenceMargin = 50ms;
 
+/// A replica that was paused, or has joined, is no evidence for this long. It
+/// is longer than a promotion takes from the promoter's last look at the
+/// servers: the age of a status, the request and its effect.
+constexpr Duration kEvidenceProbation = 2'500ms;
+
 /// Interval of the promoter's status requests to the servers of a group.
 constexpr Duration kSampleInterval = 250ms;
 /// How long a host may hold a query of another host while it has nothing new to
@@ -111,13 +116,13 @@
 /// The greatest age, at a promotion, of a status that shows that a replica is
 /// still paused.
 constexpr Duration kMaxFenceStatusAge = 300ms;
+/// A request to promote a server that has no answer for this long is given up.
+constexpr Duration kPromoteTimeout = 1'500ms;
 /// Delay before a promotion that got no clear answer is requested again.
 constexpr Duration kPromoteRetryDelay = 300ms;
 
 // Percentages of the grace time of a planned stop.
 /// Until then a stopping host accepts new sessions, since the load balancer may
-/// A request to promote a server that has no answer for this long is given up.
-constexpr Duration kPromoteTimeout = 1'500ms;
 /// not have seen yet that it is not ready.
 constexpr int kStopNoticePercent = 42;
 /// From then on open transactions are rolled back. More than half of the grace
--- a/Source/Group/Copies.cpp
+++ b/Source/Group/Copies.cpp
@@ -122,12 +122,14 @@
   return aGroup.mServers.size() + aGroup.mFormerCopies.size();
 }
 
-void
+bool
 NoteListedCopy(Group& aGroup, const ServerEntry& aEntry)
 {
-  std::erase_if(aGroup.mFormerCopies, [&](const FormerCopy& aFormer) {
-    return HasLogOf(aEntry, aFormer.mCopy);
-  });
+  const auto erased =
+    std::erase_if(aGroup.mFormerCopies, [&](const FormerCopy& aFormer) {
+      return HasLogOf(aEntry, aFormer.mCopy);
+    });
+  return erased > 0;
 }
 
 void
--- a/Source/Group/Copies.h
+++ b/Source/Group/Copies.h
@@ -14,8 +14,9 @@
 std::size_t CountCopies(const Group& aGroup);
 
 /// Notes that a server is listed. If it is a former one, or uses the log of a
-/// former one at its address, the copy is available again.
-void NoteListedCopy(Group& aGroup, const ServerEntry& aEntry);
+/// former one at its address, the copy is available again. Returns whether that
+/// is so.
+bool NoteListedCopy(Group& aGroup, const ServerEntry& aEntry);
 
 /// Notes that a server is no longer listed.
 void NoteFormerCopy(Context& aContext, Group& aGroup, const Backend& aBackend);
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -13,6 +13,21 @@
 
 namespace {
 
+/// Whether a replica may receive the primary's writes although a promoter has
+/// requested a promotion: it was paused in this term, and a restart has ended
+/// the pause, or it has joined since the promoter looked at the servers.
+bool
+IsOnProbation(const Backend& aBackend)
+{
+  const Instant asked = aBackend.mStatusAskedAt;
+  const bool wasPaused = aBackend.mPausedAt &&
+                         aBackend.mStatus->mTerm <= aBackend.mPausedTerm &&
+                         asked < *aBackend.mPausedAt + kEvidenceProbation;
+  const bool hasJoined =
+    aBackend.mJoinedAt && asked < *aBackend.mJoinedAt + kEvidenceProbation;
+  return wasPaused || hasJoined;
+}
+
 /// Whether a server's status is evidence for the group's primary: it is a
 /// replica, is not paused and has no newer term.
 bool
@@ -20,7 +35,7 @@
 {
   return aBackend.mStatus && !aBackend.mStatus->mPrimary &&
          aBackend.mStatus->mPauseTerm == 0 &&
-         aBackend.mStatus->mTerm <= aGroup.mTerm;
+         aBackend.mStatus->mTerm <= aGroup.mTerm && !IsOnProbation(aBackend);
 }
 
 void
@@ -172,6 +187,10 @@
 {
   aBackend.mStatus = aStatus;
   aBackend.mStatusAskedAt = aAskedAt;
+  if (aStatus.mPauseTerm != 0) {
+    aBackend.mPausedAt = aAskedAt;
+    aBackend.mPausedTerm = aStatus.mTerm;
+  }
   ++aContext.mState.mFleet.mSequence;
   Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
   if (group == nullptr) {
--- /dev/null
+++ b/Tests/Gateway/EvidenceTest.cpp
@@ -0,0 +1,81 @@
+#include <catch2/catch.hpp>
+
+#include "Follower.h"
+#include "Gateway/Tuning.h"
+
+using namespace camphorstep;
+using namespace camphorstep::gateway;
+
+namespace {
+
+/// Whether the primary of the group is given a statement.
+bool
+IsPrimaryUsed(Follower& aDriver, std::uint64_t aSession)
+{
+  aDriver.OpenSession(aSession, "main");
+  aDriver.Send(aSession, StatementKind::Write);
+  return aDriver.NextStatement().has_value();
+}
+
+void
+SetPaused(Follower& aDriver, Term aPauseTerm)
+{
+  aDriver.Server("s2").mPauseTerm = aPauseTerm;
+  aDriver.Server("s3").mPauseTerm = aPauseTerm;
+}
+
+}
+
+TEST_CASE("A replica that was paused is no evidence until it has a new term",
+          "[Evidence]")
+{
+  // Guards against writes through a replica whose pause a restart has ended
+  // after the promoter's last look at it.
+  Follower driver;
+  driver.Follow(1s);
+  SetPaused(driver, 9);
+  driver.Follow(kEvidenceTimeout + 500ms);
+  SetPaused(driver, 0);
+  SECTION("while a promotion may be underway")
+  {
+    driver.Follow(1s);
+    CHECK_FALSE(IsPrimaryUsed(driver, 1));
+    driver.Follow(kEvidenceProbation);
+    CHECK(IsPrimaryUsed(driver, 2));
+  }
+  SECTION("which it has at once if a server was promoted")
+  {
+    for (const char* const name : { "s2", "s3" }) {
+      driver.Server(name).mTerm = 2;
+    }
+    driver.Server("s2").mPrimary = true;
+    driver.Follow(1s);
+    CHECK(IsPrimaryUsed(driver, 1));
+  }
+}
+
+TEST_CASE("A replica that has just joined is no evidence", "[Evidence]")
+{
+  // Guards against writes through a server that the promoter has not heard of.
+  Follower driver;
+  driver.Follow(1s);
+  SetPaused(driver, 9);
+  GatewayDriver::FakeServer joined = driver.Server("s2");
+  joined.mName = "s4";
+  joined.mPauseTerm = 0;
+  driver.mServers.push_back(joined);
+  ServerEntry entry = driver.mState.mBackends.at(IdOf<ServerId>("s2")).mEntry;
+  entry.mName = "s4";
+  entry.mAddress.mIp = "10.0.1.4";
+  TableProgress& table = driver.mState.mCatalogue.mTables.at(1);
+  table.mCall = gateway::CallId{ ++driver.mState.mLastId };
+  TableAnswer answer;
+  answer.mCall = table.mCall;
+  answer.mTable = Table::Servers;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mVersion = ++driver.mStoreVersion;
+  answer.mServers.push_back({ "s4", entry });
+  driver.Deliver(answer);
+  driver.Follow(kEvidenceTimeout + 300ms);
+  CHECK_FALSE(IsPrimaryUsed(driver, 1));
+}
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -222,36 +222,6 @@
   CHECK(driver.mNow >= driver.mState.mPromoter.mHeldUntil);
 }
 
-TEST_CASE("A lease that another host renews is not taken", "[Promoter]")
-{
-  GatewayDriver driver;
-  driver.mState.mPromoter.mHeldUntil = Instant{};
-  driver.mState.mPromoter.mCall = gateway::CallId{};
-  for (std::uint64_t n = 0; n < 10; ++n) {
-    TableAnswer answer;
-    answer.mCall = driver.mState.mCatalogue.mTables[2].mCall;
-    answer.mTable = Table::Fleet;
-    answer.mOutcome = CallOutcome::Ok;
-    answer.mStoreTime = driver.mNow.time_since_epoch();
-    answer.mLease = PromoterLease{ "h2", 9, 5, 1000 + n };
-    driver.Deliver(answer);
-    CHECK_FALSE(driver.Take<WriteLease>());
-    driver.Run(2s);
-  }
-  CHECK(driver.mState.mPromoter.mLease.mHolder == "h2");
-  // From here on the lease is not renewed.
-  driver.Run(kPromoterLeaseDuration + 1s);
-  CHECK(driver.mState.mPromoter.mLease.mHolder == "h1");
-  CHECK(driver.mState.mPromoter.mLease.mToken == 6);
-}
-
-TEST_CASE("A promoter that was stalled does not treat the primary as silent",
-          "[Takeover]")
-{
-  GatewayDriver driver;
-  driver.Run(500ms);
-  driver.mNow += 1500ms;
-  CHECK_FALSE(RunUntilPromotion(driver, 4s));
 TEST_CASE("An order to promote is given up before its sender's lease ends",
           "[Takeover]")
 {
@@ -287,6 +257,36 @@
   CHECK(release->mLease.mHolder.empty());
 }
 
+TEST_CASE("A lease that another host renews is not taken", "[Promoter]")
+{
+  GatewayDriver driver;
+  driver.mState.mPromoter.mHeldUntil = Instant{};
+  driver.mState.mPromoter.mCall = gateway::CallId{};
+  for (std::uint64_t n = 0; n < 10; ++n) {
+    TableAnswer answer;
+    answer.mCall = driver.mState.mCatalogue.mTables[2].mCall;
+    answer.mTable = Table::Fleet;
+    answer.mOutcome = CallOutcome::Ok;
+    answer.mStoreTime = driver.mNow.time_since_epoch();
+    answer.mLease = PromoterLease{ "h2", 9, 5, 1000 + n };
+    driver.Deliver(answer);
+    CHECK_FALSE(driver.Take<WriteLease>());
+    driver.Run(2s);
+  }
+  CHECK(driver.mState.mPromoter.mLease.mHolder == "h2");
+  // From here on the lease is not renewed.
+  driver.Run(kPromoterLeaseDuration + 1s);
+  CHECK(driver.mState.mPromoter.mLease.mHolder == "h1");
+  CHECK(driver.mState.mPromoter.mLease.mToken == 6);
+}
+
+TEST_CASE("A promoter that was stalled does not treat the primary as silent",
+          "[Takeover]")
+{
+  GatewayDriver driver;
+  driver.Run(500ms);
+  driver.mNow += 1500ms;
+  CHECK_FALSE(RunUntilPromotion(driver, 4s));
   CHECK(driver.Server("s1").mPrimary);
   SECTION("but detects a primary that is")
   {
