--- a/Source/Session/Outcomes.cpp
+++ b/Source/Session/Outcomes.cpp
@@ -180,6 +180,16 @@
          aReply.mPosition->mTerm < group->mTerm;
 }
 
+/// Whether no other server can have been promoted when the answer of a server
+/// came. Otherwise the server that is promoted may lack the writes.
+bool
+IsPrimaryProved(const Context& aContext, const Backend& aBackend)
+{
+  const Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
+  return group == nullptr || (group->mPrimary == aBackend.mId &&
+                              aContext.mNow < EvidenceEnd(aContext, *group));
+}
+
 /// Fails a statement whose answer was lost or cannot be relied on.
 void
 FailLostStatement(Context& aContext,
@@ -283,6 +293,13 @@
                       *session,
                       ResultCode::ConnectionLost,
                       "another primary was promoted before the answer came");
+  } else if (aReply.mCode == ResultCode::Ok && CanCommitWrites(*session) &&
+             !IsPrimaryProved(aContext, backend)) {
+    FailLostStatement(aContext,
+                      *session,
+                      ResultCode::ConnectionLost,
+                      "another primary may have been promoted before the "
+                      "answer came");
   } else if (aReply.mCode == ResultCode::Ok) {
     RecordSuccess(aContext, *session, backend, aReply);
     CompleteStatement(aContext, *session, aReply);
--- a/Tests/Gateway/EvidenceTest.cpp
+++ b/Tests/Gateway/EvidenceTest.cpp
@@ -54,6 +54,35 @@
   }
 }
 
+TEST_CASE("A commit is not acknowledged without evidence for the primary",
+          "[Evidence]")
+{
+  // Guards against acknowledgements that came through a server that no
+  // promoter knew, after the replicas had been paused.
+  Follower driver;
+  driver.Follow(1s);
+  driver.OpenSession(1, "main");
+  driver.Send(1, StatementKind::Begin);
+  REQUIRE(driver.Answer());
+  driver.Send(1, StatementKind::Write);
+  const auto begin = driver.NextStatement();
+  REQUIRE(begin);
+  driver.Reply(*begin, ResultCode::Ok, TransactionState::Open);
+  const auto write = driver.NextStatement();
+  REQUIRE(write);
+  driver.Reply(*write, ResultCode::Ok, TransactionState::Open);
+  REQUIRE(driver.Answer());
+  SetPaused(driver, 9);
+  driver.Follow(kEvidenceTimeout + 300ms);
+  driver.Send(1, StatementKind::Commit);
+  const auto commit = driver.NextStatement();
+  REQUIRE(commit);
+  driver.Reply(*commit);
+  const auto answer = driver.Answer();
+  REQUIRE(answer);
+  CHECK(answer->mCode == ResultCode::ConnectionLost);
+}
+
 TEST_CASE("A replica that has just joined is no evidence", "[Evidence]")
 {
   // Guards against writes through a server that the promoter has not heard of.
