--- a/Tests/Platform/ConnectionsTest.cpp
+++ b/Tests/Platform/ConnectionsTest.cpp
@@ -200,6 +200,35 @@
   CHECK(ended > 0);
 }
 
+TEST_CASE("A line feed inside a field does not end the message",
+          "[Connections]")
+{
+  // Guards against a text that is cut short, and whose rest runs as a statement
+  // of its own.
+  TestLoop loop;
+  FunctionSink sink;
+  platform::CallerPort port(loop.mLoop, sink, kCallerAddress);
+  std::vector<std::string> texts;
+  sink.mHandler = [&](const gateway::EventBody& aEvent) {
+    if (const auto* const opened =
+          std::get_if<gateway::SessionOpened>(&aEvent)) {
+      port.Carry(gateway::AcceptSession{ opened->mSession });
+    }
+    if (const auto* const received =
+          std::get_if<gateway::StatementReceived>(&aEvent)) {
+      texts.push_back(received->mStatement.mText);
+      loop.mLoop.exit();
+    }
+  };
+  StreamSocket caller({ [] {}, [](std::string_view) {}, [](bool) {} }, 1024);
+  caller.Append("STARTUP db user\r\n"
+                "QUERY a WRITE i one\nQUERY b WRITE j two\r\n");
+  caller.Connect(loop.mLoop, kCallerAddress);
+  loop.Run();
+  CHECK(texts ==
+        std::vector<std::string>{ "WRITE i one\nQUERY b WRITE j two" });
+}
+
 TEST_CASE("Bytes that are no message of the protocol end the session",
           "[Connections]")
 {
