Group: Log what an order to promote rests on, and how it ends (LOST, ONE)

The line of an order had neither its id nor the rest of the lease, the copies, the statuses behind the choice or the list of servers; the end of an order, the wait for the list, the writes of the lease and the replicas on probation were not to be seen.

Change: log lines and counters only. The order's line has order, term, fence_term, lease_left_ms, expires_in_ms, copies, paused, statuses, list_version and list_age_ms. New lines: the order is sent, promoted, ended unawaited; a server is not paused after it; the wait for the list (once per takeover); the lease is released; a replica is no evidence yet (once per pause). Lines of the lease have row version and era, and a write that failed says which one it was. Counters: orders, orders without a clear answer, restarts, commits withheld by reason.

Every copy of a group up to 12 stands in statuses, then a number.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -79,6 +79,9 @@
   Term mPausedTerm = 0;
   /// When the server joined its group, if this host knew the group before.
   std::optional<Instant> mJoinedAt;
+  /// Whether the log says that its status is no evidence after the newest
+  /// pause, or after it joined.
+  bool mIsProbationLogged = false;
   /// When the server was last heard on any connection.
   Instant mLastReceivedAt;
   /// When a connection to it was last given up for silence.
--- a/Source/Gateway/Counters.h
+++ b/Source/Gateway/Counters.h
@@ -31,6 +31,18 @@
   std::uint64_t mLinksLost = 0;
   std::uint64_t mStatusRequests = 0;
   std::uint64_t mPromotions = 0;
+  /// Orders to promote a server that were given to the platform.
+  std::uint64_t mPromotionOrders = 0;
+  /// Those that were given up without a clear answer. Such an order may have
+  /// taken effect.
+  std::uint64_t mOrdersUnanswered = 0;
+  /// Takeovers that paused all servers again because one was not paused.
+  std::uint64_t mTakeoverRestarts = 0;
+  /// Commits that a server acknowledged in a term that had ended.
+  std::uint64_t mCommitsOfEndedTerm = 0;
+  /// Commits that a server acknowledged without evidence that it was still the
+  /// primary.
+  std::uint64_t mCommitsUnproved = 0;
   std::uint64_t mStoreCalls = 0;
 };
 
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -13,19 +13,25 @@
 
 namespace {
 
+/// Whether a replica was paused in this term a short time ago.
+bool
+WasPaused(const Backend& aBackend)
+{
+  return aBackend.mPausedAt &&
+         aBackend.mStatus->mTerm <= aBackend.mPausedTerm &&
+         aBackend.mStatusAskedAt < *aBackend.mPausedAt + kEvidenceProbation;
+}
+
 /// Whether a replica may receive the primary's writes although a promoter has
 /// requested a promotion: it was paused in this term, and a restart has ended
 /// the pause, or it has joined since the promoter looked at the servers.
 bool
 IsOnProbation(const Backend& aBackend)
 {
-  const Instant asked = aBackend.mStatusAskedAt;
-  const bool wasPaused = aBackend.mPausedAt &&
-                         aBackend.mStatus->mTerm <= aBackend.mPausedTerm &&
-                         asked < *aBackend.mPausedAt + kEvidenceProbation;
   const bool hasJoined =
-    aBackend.mJoinedAt && asked < *aBackend.mJoinedAt + kEvidenceProbation;
-  return wasPaused || hasJoined;
+    aBackend.mJoinedAt &&
+    aBackend.mStatusAskedAt < *aBackend.mJoinedAt + kEvidenceProbation;
+  return WasPaused(aBackend) || hasJoined;
 }
 
 /// Whether a server's status is evidence for the group's primary: it is a
@@ -38,6 +44,27 @@
          aBackend.mStatus->mTerm <= aGroup.mTerm && !IsOnProbation(aBackend);
 }
 
+/// Logs, once for each pause of a server and once after it joined, that its
+/// status is passed over as evidence.
+void
+LogProbation(Context& aContext, const Group& aGroup, Backend& aBackend)
+{
+  const BackendStatus& status = *aBackend.mStatus;
+  if (aBackend.mIsProbationLogged || status.mPrimary ||
+      status.mPauseTerm != 0 || !IsOnProbation(aBackend)) {
+    return;
+  }
+  aBackend.mIsProbationLogged = true;
+  Log(aContext,
+      LogSeverity::Info,
+      "a replica is no evidence for the primary yet",
+      { { "group", aGroup.mName },
+        { "server", aBackend.mEntry.mName },
+        { "reason", WasPaused(aBackend) ? "it was paused" : "it has joined" },
+        { "term", std::to_string(status.mTerm) },
+        { "received", Describe(status.mReceived) } });
+}
+
 void
 SetPrimary(Context& aContext, Group& aGroup, ServerId aServer)
 {
@@ -190,6 +217,7 @@
   if (aStatus.mPauseTerm != 0) {
     aBackend.mPausedAt = aAskedAt;
     aBackend.mPausedTerm = aStatus.mTerm;
+    aBackend.mIsProbationLogged = false;
   }
   ++aContext.mState.mFleet.mSequence;
   Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
@@ -197,6 +225,7 @@
     return;
   }
   UpdatePrimary(aContext, *group, aBackend);
+  LogProbation(aContext, *group, aBackend);
   if (group->mPrimary == aBackend.mId) {
     RecordPositionSample(aContext, *group, aBackend);
   }
--- a/Source/Group/Fencing.cpp
+++ b/Source/Group/Fencing.cpp
@@ -1,6 +1,8 @@
 #include "Group/Fencing.h"
 
 #include <algorithm>
+#include <string>
+#include <vector>
 
 #include "Gateway/Tuning.h"
 #include "Group/Copies.h"
@@ -15,6 +17,8 @@
 /// A server counts as reachable, and must be fenced, if a message from it
 /// arrived within this time.
 constexpr Duration kReachableTimeout = 500ms;
+/// The most copies that one log line describes.
+constexpr std::size_t kMaxDescribed = 12;
 
 /// Calls a function for each server of the group that is known.
 template<typename Function>
@@ -65,6 +69,24 @@
   return aFirst.mId < aSecond.mId;
 }
 
+/// Describes the newest status of a server, for the log.
+std::string
+DescribeStatus(const Context& aContext, const Backend& aBackend)
+{
+  if (!aBackend.mStatus) {
+    return aBackend.mEntry.mName + " unknown";
+  }
+  const BackendStatus& status = *aBackend.mStatus;
+  std::string text = aBackend.mEntry.mName + " " + Describe(status.mReceived);
+  if (status.mPrimary) {
+    text += " primary";
+  }
+  if (status.mPauseTerm != 0) {
+    text += " pause " + std::to_string(status.mPauseTerm);
+  }
+  return text + " age " + Milliseconds(aContext.mNow - aBackend.mStatusAskedAt);
+}
+
 }
 
 bool
@@ -91,6 +113,28 @@
   });
 }
 
+std::string
+DescribeStatuses(const Context& aContext, const Group& aGroup)
+{
+  std::vector<std::string> items;
+  for (const ServerId id : aGroup.mServers) {
+    if (const Backend* const backend = Find(aContext.mState.mBackends, id)) {
+      items.push_back(DescribeStatus(aContext, *backend));
+    }
+  }
+  for (const FormerCopy& former : aGroup.mFormerCopies) {
+    items.push_back(former.mCopy.mServer + " not listed");
+  }
+  std::string text;
+  for (std::size_t n = 0; n < std::min(items.size(), kMaxDescribed); ++n) {
+    text += (n == 0 ? "" : "; ") + items[n];
+  }
+  if (items.size() > kMaxDescribed) {
+    text += "; " + std::to_string(items.size() - kMaxDescribed) + " more";
+  }
+  return text;
+}
+
 void
 ContinueFencing(Context& aContext, Group& aGroup)
 {
--- a/Source/Group/Fencing.h
+++ b/Source/Group/Fencing.h
@@ -13,6 +13,11 @@
 /// takeover.
 std::size_t CountPaused(const Context& aContext, const Group& aGroup);
 
+/// Describes, for the log, the newest status of each server of a group and the
+/// copies on servers that are not listed: "s2 1.107 pause 2 age 35" is a
+/// position, the term of a pause and the status's age in milliseconds.
+std::string DescribeStatuses(const Context& aContext, const Group& aGroup);
+
 /// Sends the pause command to replicas that are not yet paused by this
 /// takeover, and the step-down command to a primary, where the control
 /// connection is free.
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -61,10 +61,15 @@
   Instant mFencedAt;
   ServerId mCandidate;
   CallId mCall;
+  /// When the newest order to promote was given, and its id.
+  Instant mOrderedAt;
+  CallId mOrder;
   Instant mCallAfter;
   /// Whether a server was not paused while the call was underway, so that
   /// writes may have been acknowledged that the candidate lacks.
   bool mIsFenceBroken = false;
+  /// Whether the log says that the list of servers is waited for.
+  bool mIsListWaitLogged = false;
 };
 
 /// A copy of a group's data on a server that is no longer listed. It may be the
--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -185,6 +185,46 @@
   }
 }
 
+/// The fields of a log line about a row of the lease.
+std::vector<LogValue>
+DescribeLease(const PromoterLease& aLease)
+{
+  return { { "holder", aLease.mHolder },
+           { "fencing_token", std::to_string(aLease.mToken) },
+           { "row_version", std::to_string(NumberOf(aLease.mRowVersion)) },
+           { "era", std::to_string(EraOf(aLease.mRowVersion)) } };
+}
+
+/// What the last write of the lease was for. Another host's row may be known
+/// since: a renewal's has a later token, and one that was claimed at the same
+/// time has the same token.
+std::string_view
+DescribeWrite(const Context& aContext)
+{
+  const PromoterLease& written = aContext.mState.mPromoter.mWrittenLease;
+  const PromoterLease& known = aContext.mState.mPromoter.mLease;
+  if (written.mHolder.empty()) {
+    return "release";
+  }
+  const bool isRenewal =
+    known.mToken > written.mToken ||
+    (known.mToken == written.mToken && IsOwnLease(aContext, known));
+  return isRenewal ? "renewal" : "claim";
+}
+
+void
+LogLeaseTaken(Context& aContext)
+{
+  const PromoterState& promoter = aContext.mState.mPromoter;
+  std::vector<LogValue> values = DescribeLease(promoter.mLease);
+  values.push_back(
+    { "lease_left_ms", Milliseconds(PromoterLeaseLeft(aContext)) });
+  Log(aContext,
+      LogSeverity::Info,
+      "this host holds the promoter's lease",
+      std::move(values));
+}
+
 void
 ApplyLeaseWrite(Context& aContext,
                 std::uint64_t aRowVersion,
@@ -202,6 +242,10 @@
   promoter.mLease.mRowVersion = aRowVersion;
   promoter.mIsKnown = true;
   if (!IsOwnLease(aContext, promoter.mLease)) {
+    Log(aContext,
+        LogSeverity::Info,
+        "this host has released the promoter's lease",
+        DescribeLease(promoter.mLease));
     return;
   }
   const bool wasHeld = HoldsPromoterLease(aContext);
@@ -216,10 +260,7 @@
     SampleAllGroups(aContext);
   }
   if (isNew) {
-    Log(aContext,
-        LogSeverity::Info,
-        "this host holds the promoter's lease",
-        { { "fencing_token", std::to_string(promoter.mLease.mToken) } });
+    LogLeaseTaken(aContext);
   }
 }
 
@@ -236,6 +277,26 @@
   }
 }
 
+/// Logs that a claim, renewal or release of the lease was not written, with
+/// the row that it was to replace.
+void
+LogLeaseNotWritten(Context& aContext, const StoreWritten& aEvent)
+{
+  const PromoterState& promoter = aContext.mState.mPromoter;
+  std::vector<LogValue> values = DescribeLease(promoter.mWrittenLease);
+  values.push_back({ "write", std::string(DescribeWrite(aContext)) });
+  values.push_back(
+    { "outcome", std::string(DescribeFailure(aEvent.mOutcome)) });
+  values.push_back(
+    { "took_ms", Milliseconds(aContext.mNow - promoter.mCallSentAt) });
+  values.push_back(
+    { "lease_left_ms", Milliseconds(PromoterLeaseLeft(aContext)) });
+  Log(aContext,
+      LogSeverity::Info,
+      "the promoter's lease was not written",
+      std::move(values));
+}
+
 /// Applies a row of the lease that the store held at aSeenAt, by the store's
 /// clock. Ignores rows that are not newer.
 void
@@ -271,8 +332,7 @@
     Log(aContext,
         LogSeverity::Info,
         "the holder of the promoter's lease changed",
-        { { "holder", promoter.mLease.mHolder },
-          { "fencing_token", std::to_string(promoter.mLease.mToken) } });
+        DescribeLease(promoter.mLease));
   }
 }
 
@@ -284,6 +344,14 @@
   return aContext.mNow < aContext.mState.mPromoter.mHeldUntil;
 }
 
+Duration
+PromoterLeaseLeft(const Context& aContext)
+{
+  return HoldsPromoterLease(aContext)
+           ? aContext.mState.mPromoter.mHeldUntil - aContext.mNow
+           : Duration{ 0 };
+}
+
 void
 ApplyStoredLease(Context& aContext, const TableAnswer& aAnswer)
 {
@@ -358,10 +426,7 @@
     ApplyRecordedCopies(aContext, promoter.mWrittenCopies);
     return true;
   }
-  Log(aContext,
-      LogSeverity::Info,
-      "the promoter's lease was not written",
-      { { "outcome", std::string(DescribeFailure(aEvent.mOutcome)) } });
+  LogLeaseNotWritten(aContext, aEvent);
   // The row shows who holds the lease now.
   RereadTable(aContext, Table::Fleet);
   return true;
--- a/Source/Group/Promoter.h
+++ b/Source/Group/Promoter.h
@@ -10,6 +10,9 @@
 /// Whether this host may have servers promoted now.
 bool HoldsPromoterLease(const Context& aContext);
 
+/// How long this host still holds the lease; zero if it does not.
+Duration PromoterLeaseLeft(const Context& aContext);
+
 /// Updates the lease from the store's rows.
 void ApplyStoredLease(Context& aContext, const TableAnswer& aAnswer);
 
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "Catalogue/Tables.h"
 #include "Common/NamedEnum.h"
@@ -172,6 +176,51 @@
                   aContext.mState.mPromoter.mHeldUntil);
 }
 
+/// How old the list of servers is that this host knows.
+std::string
+ServerListAge(const Context& aContext)
+{
+  const TableProgress& servers = aContext.mState.mCatalogue.mTables.at(
+    static_cast<std::size_t>(Table::Servers));
+  return Milliseconds(aContext.mNow - servers.mConfirmedAt);
+}
+
+std::string
+ServerListVersion(const Context& aContext)
+{
+  return std::to_string(aContext.mState.mCatalogue.mTables
+                          .at(static_cast<std::size_t>(Table::Servers))
+                          .mVersion);
+}
+
+/// Logs an order to promote, with what the choice of the server rests on.
+void
+LogOrder(Context& aContext, const Group& aGroup, const Backend& aCandidate)
+{
+  const Takeover& takeover = aGroup.mTakeover;
+  const PromoterLease& lease = aContext.mState.mPromoter.mLease;
+  Log(
+    aContext,
+    LogSeverity::Warning,
+    "asking the platform to promote a server",
+    { { "group", aGroup.mName },
+      { "server", aCandidate.mEntry.mName },
+      { "received", Describe(aCandidate.mStatus->mReceived) },
+      { "fencing_token", std::to_string(lease.mToken) },
+      { "order", std::to_string(takeover.mOrder.mValue) },
+      { "term", std::to_string(aGroup.mTerm) },
+      { "fence_term", std::to_string(takeover.mFenceTerm) },
+      { "lease_left_ms", Milliseconds(PromoterLeaseLeft(aContext)) },
+      { "expires_in_ms", Milliseconds(OrderExpiry(aContext) - aContext.mNow) },
+      { "copies", std::to_string(CountCopies(aGroup)) },
+      { "paused", std::to_string(CountPaused(aContext, aGroup)) },
+      { "statuses", DescribeStatuses(aContext, aGroup) },
+      { "list_version", ServerListVersion(aContext) },
+      { "list_age_ms", ServerListAge(aContext) },
+      { "since_start_ms",
+        Milliseconds(aContext.mNow - takeover.mStartedAt) } });
+}
+
 void
 RequestPromotion(Context& aContext, Group& aGroup, const Backend& aCandidate)
 {
@@ -180,16 +229,11 @@
   takeover.mCandidate = aCandidate.mId;
   takeover.mIsFenceBroken = false;
   takeover.mCall = NewId<CallId>(aContext);
+  takeover.mOrder = takeover.mCall;
+  takeover.mOrderedAt = aContext.mNow;
+  ++aContext.mState.mCounters.mPromotionOrders;
+  LogOrder(aContext, aGroup, aCandidate);
   const PromoterLease& lease = aContext.mState.mPromoter.mLease;
-  Log(aContext,
-      LogSeverity::Warning,
-      "asking the platform to promote a server",
-      { { "group", aGroup.mName },
-        { "server", aCandidate.mEntry.mName },
-        { "received", Describe(aCandidate.mStatus->mReceived) },
-        { "fencing_token", std::to_string(lease.mToken) },
-        { "since_start_ms",
-          Milliseconds(aContext.mNow - takeover.mStartedAt) } });
   Emit(aContext,
        PromoteServer{ takeover.mCall,
                       aGroup.mName,
@@ -251,17 +295,64 @@
 void
 RestartFencing(Context& aContext, Group& aGroup)
 {
+  ++aContext.mState.mCounters.mTakeoverRestarts;
   Log(aContext,
       LogSeverity::Warning,
       "a server was not paused before the promotion; pausing all again",
       { { "group", aGroup.mName },
         { "term", std::to_string(aGroup.mTerm) },
+        { "order", std::to_string(aGroup.mTakeover.mOrder.mValue) },
+        { "statuses", DescribeStatuses(aContext, aGroup) },
         { "since_start_ms",
           Milliseconds(aContext.mNow - aGroup.mTakeover.mStartedAt) } });
   SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
   ContinueFencing(aContext, aGroup);
 }
 
+/// Logs, once for each takeover, that it waits for the list of servers.
+void
+LogListWait(Context& aContext, Group& aGroup)
+{
+  Takeover& takeover = aGroup.mTakeover;
+  if (std::exchange(takeover.mIsListWaitLogged, true)) {
+    return;
+  }
+  Log(aContext,
+      LogSeverity::Info,
+      "waiting for the list of servers before the promotion",
+      { { "group", aGroup.mName },
+        { "term", std::to_string(aGroup.mTerm) },
+        { "list_version", ServerListVersion(aContext) },
+        { "list_age_ms", ServerListAge(aContext) },
+        { "since_start_ms",
+          Milliseconds(aContext.mNow - takeover.mStartedAt) } });
+}
+
+/// Notes that a server is not paused although an order to promote was given,
+/// and logs it if the order is underway.
+void
+NoteFenceBroken(Context& aContext, Group& aGroup)
+{
+  Takeover& takeover = aGroup.mTakeover;
+  if (takeover.mIsFenceBroken || !IsFenceBroken(aContext, aGroup)) {
+    return;
+  }
+  takeover.mIsFenceBroken = true;
+  if (!takeover.mCall) {
+    // The restart of the takeover is logged.
+    return;
+  }
+  Log(aContext,
+      LogSeverity::Warning,
+      "a server is not paused after the order to promote",
+      { { "group", aGroup.mName },
+        { "term", std::to_string(aGroup.mTerm) },
+        { "order", std::to_string(takeover.mOrder.mValue) },
+        { "statuses", DescribeStatuses(aContext, aGroup) },
+        { "since_order_ms",
+          Milliseconds(aContext.mNow - takeover.mOrderedAt) } });
+}
+
 void
 AdvanceEvidenceExpiry(Context& aContext, Group& aGroup)
 {
@@ -286,6 +377,7 @@
   if (!IsTableConfirmedSince(aContext, Table::Servers, waitEnd)) {
     // A server that was listed meanwhile may have acknowledged writes.
     PollTableSoon(aContext, Table::Servers);
+    LogListWait(aContext, aGroup);
     return;
   }
   if (const Backend* const candidate = BestCandidate(aContext, aGroup)) {
@@ -297,7 +389,7 @@
 AdvancePromoting(Context& aContext, Group& aGroup)
 {
   Takeover& takeover = aGroup.mTakeover;
-  takeover.mIsFenceBroken |= IsFenceBroken(aContext, aGroup);
+  NoteFenceBroken(aContext, aGroup);
   if (takeover.mCall) {
     StepDownOldPrimary(aContext, aGroup);
     return;
@@ -336,6 +428,8 @@
         "primary is replaced",
         { { "group", aGroup.mName },
           { "term", std::to_string(aGroup.mTerm) },
+          { "order", std::to_string(takeover.mOrder.mValue) },
+          { "statuses", DescribeStatuses(aContext, aGroup) },
           { "took_ms", Milliseconds(aContext.mNow - takeover.mStartedAt) } });
     takeover = Takeover{};
     return;
@@ -345,6 +439,64 @@
   }
 }
 
+std::string_view
+DescribeOutcome(CallOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case CallOutcome::Ok:
+      return "promoted";
+    case CallOutcome::Conflict:
+      return "server is not running";
+    case CallOutcome::Unknown:
+      return "not confirmed";
+    default:
+      return "refused";
+  }
+}
+
+/// Logs the outcome of the order to promote that a takeover waits for.
+void
+LogOrderAnswer(Context& aContext, const Group& aGroup, CallOutcome aOutcome)
+{
+  const Takeover& takeover = aGroup.mTakeover;
+  const bool isPromoted = aOutcome == CallOutcome::Ok;
+  const PromoterLease& lease = aContext.mState.mPromoter.mLease;
+  Log(aContext,
+      isPromoted ? LogSeverity::Info : LogSeverity::Warning,
+      isPromoted ? "the platform has promoted the server"
+                 : "the platform did not promote the server",
+      { { "group", aGroup.mName },
+        { "order", std::to_string(takeover.mCall.mValue) },
+        { "fencing_token", std::to_string(lease.mToken) },
+        { "outcome", std::string(DescribeOutcome(aOutcome)) },
+        { "took_ms", Milliseconds(aContext.mNow - takeover.mOrderedAt) },
+        { "lease_left_ms", Milliseconds(PromoterLeaseLeft(aContext)) } });
+}
+
+/// Logs the outcome of an order to promote that no takeover waits for: its
+/// effect was seen before, or the change of primary was given up.
+void
+LogUnawaitedAnswer(Context& aContext, const PromoteAnswered& aAnswer)
+{
+  std::vector<LogValue> values{
+    { "order", std::to_string(aAnswer.mCall.mValue) },
+    { "outcome", std::string(DescribeOutcome(aAnswer.mOutcome)) },
+    { "lease_left_ms", Milliseconds(PromoterLeaseLeft(aContext)) }
+  };
+  for (const auto& [id, group] : aContext.mState.mGroups) {
+    const Takeover& takeover = group.mTakeover;
+    if (takeover.mOrder == aAnswer.mCall) {
+      values.push_back({ "group", group.mName });
+      values.push_back(
+        { "took_ms", Milliseconds(aContext.mNow - takeover.mOrderedAt) });
+    }
+  }
+  Log(aContext,
+      LogSeverity::Info,
+      "an order to promote has ended that is not waited for",
+      std::move(values));
+}
+
 }
 
 void
@@ -356,7 +508,10 @@
       Log(aContext,
           LogSeverity::Warning,
           "change of primary left to the next promoter",
-          { { "group", aGroup.mName } });
+          { { "group", aGroup.mName },
+            { "term", std::to_string(aGroup.mTerm) },
+            { "order", std::to_string(takeover.mOrder.mValue) },
+            { "answered", takeover.mCall ? "no" : "yes" } });
       takeover = Takeover{};
     }
     return;
@@ -398,31 +553,31 @@
 void
 HandlePromoteAnswered(Context& aContext, const PromoteAnswered& aEvent)
 {
+  if (aEvent.mOutcome == CallOutcome::Unknown) {
+    ++aContext.mState.mCounters.mOrdersUnanswered;
+  }
+  bool isAwaited = false;
   for (auto& [id, group] : aContext.mState.mGroups) {
     Takeover& takeover = group.mTakeover;
     if (takeover.mPhase != TakeoverPhase::Promoting ||
         takeover.mCall != aEvent.mCall) {
       continue;
     }
+    isAwaited = true;
+    LogOrderAnswer(aContext, group, aEvent.mOutcome);
     takeover.mCall = CallId{};
     takeover.mCallAfter = aContext.mNow + kPromoteRetryDelay;
     if (aEvent.mOutcome == CallOutcome::Ok) {
       takeover.mCallAfter = aContext.mNow;
       SetPhase(aContext, group, TakeoverPhase::Verifying);
-    } else {
-      Log(aContext,
-          LogSeverity::Warning,
-          "the platform did not promote the server",
-          { { "group", group.mName },
-            { "outcome",
-              aEvent.mOutcome == CallOutcome::Conflict ? "server is not running"
-                                                       : "not confirmed" } });
-      if (aEvent.mOutcome == CallOutcome::Conflict) {
-        SetPhase(aContext, group, TakeoverPhase::Fencing);
-      }
+    } else if (aEvent.mOutcome == CallOutcome::Conflict) {
+      SetPhase(aContext, group, TakeoverPhase::Fencing);
     }
     RequestUrgentSample(aContext, group);
   }
+  if (!isAwaited) {
+    LogUnawaitedAnswer(aContext, aEvent);
+  }
 }
 
 }
--- a/Source/Session/Outcomes.cpp
+++ b/Source/Session/Outcomes.cpp
@@ -289,12 +289,14 @@
     }
   } else if (aReply.mCode == ResultCode::Ok && CanCommitWrites(*session) &&
              IsOfEndedTerm(aContext, backend, aReply)) {
+    ++aContext.mState.mCounters.mCommitsOfEndedTerm;
     FailLostStatement(aContext,
                       *session,
                       ResultCode::ConnectionLost,
                       "another primary was promoted before the answer came");
   } else if (aReply.mCode == ResultCode::Ok && CanCommitWrites(*session) &&
              !IsPrimaryProved(aContext, backend)) {
+    ++aContext.mState.mCounters.mCommitsUnproved;
     FailLostStatement(aContext,
                       *session,
                       ResultCode::ConnectionLost,
