--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -194,6 +194,13 @@
            .mConfirmedAt >= aTime;
 }
 
+bool
+IsTableFailing(const Context& aContext, Table aTable)
+{
+  return aContext.mState.mCatalogue.mTables[static_cast<std::size_t>(aTable)]
+           .mFailures > 0;
+}
+
 TableProgress&
 ProgressOf(Context& aContext, Table aTable)
 {
--- a/Source/Catalogue/Tables.h
+++ b/Source/Catalogue/Tables.h
@@ -13,6 +13,9 @@
                            Table aTable,
                            Instant aTime);
 
+/// Whether the last call for a table failed; it is repeated after a delay.
+bool IsTableFailing(const Context& aContext, Table aTable);
+
 TableProgress& ProgressOf(Context& aContext, Table aTable);
 
 /// Reads a table, or asks for its changes, unless that is underway.
--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -403,7 +403,7 @@
   } else if (isHeld && HoldsPromoterLease(aContext) &&
              IsOfRowEra(promoter.mLease)) {
     RenewLease(aContext);
-  } else if (aContext.mState.mReady &&
+  } else if (aContext.mState.mReady && !HasOrderUnderway(aContext) &&
              (HoldsPromoterLease(aContext) || IsLeaseFree(aContext))) {
     ClaimLease(aContext);
   }
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -375,8 +375,11 @@
     return;
   }
   if (!IsTableConfirmedSince(aContext, Table::Servers, waitEnd)) {
-    // A server that was listed meanwhile may have acknowledged writes.
-    PollTableSoon(aContext, Table::Servers);
+    // A server that was listed meanwhile may have acknowledged writes. After a
+    // failure the table has its own time of the next call.
+    if (!IsTableFailing(aContext, Table::Servers)) {
+      PollTableSoon(aContext, Table::Servers);
+    }
     LogListWait(aContext, aGroup);
     return;
   }
@@ -567,6 +570,10 @@
     LogOrderAnswer(aContext, group, aEvent.mOutcome);
     takeover.mCall = CallId{};
     takeover.mCallAfter = aContext.mNow + kPromoteRetryDelay;
+    if (aEvent.mOutcome == CallOutcome::Unknown) {
+      // The order may still take effect, which takes less than this wait.
+      takeover.mFencedAt = aContext.mNow;
+    }
     if (aEvent.mOutcome == CallOutcome::Ok) {
       takeover.mCallAfter = aContext.mNow;
       SetPhase(aContext, group, TakeoverPhase::Verifying);
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -237,6 +237,53 @@
   CHECK(promotion->mExpiresAt == driver.mState.mPromoter.mHeldUntil);
 }
 
+TEST_CASE("An order of unknown outcome has no successor before its effect",
+          "[Takeover]")
+{
+  // Guards against a second order, for another server, that takes effect after
+  // writes were acknowledged by the server of the first one.
+  GatewayDriver driver;
+  driver.Server("s1").mIndex = 110;
+  driver.Server("s2").mIndex = 108;
+  driver.Server("s3").mIndex = 107;
+  const auto first = RunUntilPromotion(driver, 6s);
+  REQUIRE(first);
+  // The candidate is cut from the promoter, not from the platform.
+  driver.Server(first->mServer).mDown = true;
+  driver.Run(kPromoteTimeout);
+  driver.Deliver(PromoteAnswered{ first->mCall, CallOutcome::Unknown });
+  CHECK_FALSE(RunUntilPromotion(driver, kEvidenceTimeout - 50ms));
+}
+
+TEST_CASE("No token is claimed while an order to promote is underway",
+          "[Promoter]")
+{
+  // Guards against an order with the former token that arrives after one with
+  // the token of the store's new era.
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  const auto order = RunUntilPromotion(driver, 4s);
+  REQUIRE(order);
+  while (driver.Take<WriteLease>()) {
+  }
+  TableProgress& table = driver.mState.mCatalogue.mTables.at(2);
+  table.mCall = gateway::CallId{ ++driver.mState.mLastId };
+  driver.mState.mPromoter.mCall = gateway::CallId{};
+  TableAnswer answer;
+  answer.mCall = table.mCall;
+  answer.mTable = Table::Fleet;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mIsSnapshot = true;
+  answer.mVersion = MakeStoreVersion(1, 5);
+  answer.mStoreTime = driver.mNow.time_since_epoch();
+  for (const auto& [name, host] : driver.mState.mCatalogue.mHosts) {
+    answer.mHosts.push_back({ name, host });
+  }
+  driver.Deliver(answer);
+  driver.AdvanceTime(400ms);
+  CHECK_FALSE(driver.Take<WriteLease>());
+}
+
 TEST_CASE("The lease is not released while an order to promote is underway",
           "[Promoter]")
 {
