--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -84,8 +84,8 @@
   Group& group = FindOrAddGroup(aContext, aEntry.mGroup);
   backend.mGroup = group.mId;
   group.mServers.push_back(backend.mId);
-  const bool isKnownCopy = NoteListedCopy(group, aEntry);
-  if (!isKnownCopy && IsTableKnown(aContext, Table::Servers)) {
+  const bool isListedAgain = NoteListedCopy(group, aEntry);
+  if (!isListedAgain && IsTableKnown(aContext, Table::Servers)) {
     backend.mJoinedAt = aContext.mNow;
   }
   Log(aContext,
@@ -127,6 +127,8 @@
         "backend server has restarted",
         { { "server", aEntry.mName } });
     CloseAllLinks(aContext, aBackend);
+    // A pause of which this host may not know has ended with the restart.
+    aBackend.mJoinedAt = aContext.mNow;
     aBackend.mStatus.reset();
     aBackend.mApplied = Position{};
     aBackend.mLeavingSince.reset();
--- a/Source/Group/Copies.cpp
+++ b/Source/Group/Copies.cpp
@@ -125,11 +125,16 @@
 bool
 NoteListedCopy(Group& aGroup, const ServerEntry& aEntry)
 {
-  const auto erased =
-    std::erase_if(aGroup.mFormerCopies, [&](const FormerCopy& aFormer) {
-      return HasLogOf(aEntry, aFormer.mCopy);
-    });
-  return erased > 0;
+  const bool isListedAgain =
+    std::any_of(aGroup.mFormerCopies.begin(),
+                aGroup.mFormerCopies.end(),
+                [&](const FormerCopy& aFormer) {
+                  return aFormer.mCopy.mServer == aEntry.mName;
+                });
+  std::erase_if(aGroup.mFormerCopies, [&](const FormerCopy& aFormer) {
+    return HasLogOf(aEntry, aFormer.mCopy);
+  });
+  return isListedAgain;
 }
 
 void
--- a/Source/Group/Copies.h
+++ b/Source/Group/Copies.h
@@ -14,8 +14,8 @@
 std::size_t CountCopies(const Group& aGroup);
 
 /// Notes that a server is listed. If it is a former one, or uses the log of a
-/// former one at its address, the copy is available again. Returns whether that
-/// is so.
+/// former one at its address, the copy is available again. Returns whether the
+/// server itself was listed before.
 bool NoteListedCopy(Group& aGroup, const ServerEntry& aEntry);
 
 /// Notes that a server is no longer listed.
--- a/Tests/Gateway/EvidenceTest.cpp
+++ b/Tests/Gateway/EvidenceTest.cpp
@@ -17,6 +17,21 @@
   return aDriver.NextStatement().has_value();
 }
 
+/// Has the store list a server.
+void
+ListServer(Follower& aDriver, const ServerEntry& aEntry)
+{
+  TableProgress& table = aDriver.mState.mCatalogue.mTables.at(1);
+  table.mCall = gateway::CallId{ ++aDriver.mState.mLastId };
+  TableAnswer answer;
+  answer.mCall = table.mCall;
+  answer.mTable = Table::Servers;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mVersion = ++aDriver.mStoreVersion;
+  answer.mServers.push_back({ aEntry.mName, aEntry });
+  aDriver.Deliver(answer);
+}
+
 void
 SetPaused(Follower& aDriver, Term aPauseTerm)
 {
@@ -83,6 +98,33 @@
   CHECK(answer->mCode == ResultCode::ConnectionLost);
 }
 
+TEST_CASE("A replica that has just been started is no evidence", "[Evidence]")
+{
+  // Guards against writes through a replica that was paused before its start.
+  Follower driver;
+  driver.Follow(1s);
+  SetPaused(driver, 9);
+  ServerEntry entry = driver.mState.mBackends.at(IdOf<ServerId>("s2")).mEntry;
+  ++entry.mStartedAt;
+  SECTION("again under its name")
+  {
+    driver.Server("s2").mPauseTerm = 0;
+    ListServer(driver, entry);
+  }
+  SECTION("with the log of another at its address")
+  {
+    GatewayDriver::FakeServer next = driver.Server("s2");
+    next.mName = "s4";
+    next.mPauseTerm = 0;
+    driver.mServers.push_back(next);
+    driver.Server("s2").mDown = true;
+    entry.mName = "s4";
+    ListServer(driver, entry);
+  }
+  driver.Follow(kEvidenceTimeout + 300ms);
+  CHECK_FALSE(IsPrimaryUsed(driver, 1));
+}
+
 TEST_CASE("A replica that has just joined is no evidence", "[Evidence]")
 {
   // Guards against writes through a server that the promoter has not heard of.
@@ -96,15 +138,7 @@
   ServerEntry entry = driver.mState.mBackends.at(IdOf<ServerId>("s2")).mEntry;
   entry.mName = "s4";
   entry.mAddress.mIp = "10.0.1.4";
-  TableProgress& table = driver.mState.mCatalogue.mTables.at(1);
-  table.mCall = gateway::CallId{ ++driver.mState.mLastId };
-  TableAnswer answer;
-  answer.mCall = table.mCall;
-  answer.mTable = Table::Servers;
-  answer.mOutcome = CallOutcome::Ok;
-  answer.mVersion = ++driver.mStoreVersion;
-  answer.mServers.push_back({ "s4", entry });
-  driver.Deliver(answer);
+  ListServer(driver, entry);
   driver.Follow(kEvidenceTimeout + 300ms);
   CHECK_FALSE(IsPrimaryUsed(driver, 1));
 }
