--- a/Tests/Platform/PromotionTest.cpp
+++ b/Tests/Platform/PromotionTest.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include <cxxtools/eventloop.h>
@@ -109,6 +110,18 @@
   CHECK(site.mBodies.empty());
 }
 
+TEST_CASE("An order to promote is given up without its timer", "[Promotion]")
+{
+  // Guards against a timer that a step of the time of day has put off.
+  Site site;
+  site.mPlatform.SetHoldingUp(true);
+  site.Order("s2", 100ms);
+  site.Run(50ms);
+  std::this_thread::sleep_for(100ms);
+  site.mPort->Flush();
+  CHECK(site.mSink.mOutcomes == std::vector{ gateway::CallOutcome::Unknown });
+}
+
 TEST_CASE("An order to promote does not wait behind another", "[Promotion]")
 {
   // Guards against orders that wait in the process until the lease is lost.
