Soak: Hold up, lose and refuse calls to promote, of the lease and of status

Change: faults around changes of primary, drawn from a random stream of their own (PromotionFaults): the server that leads ends while orders to promote are held up, refused, repeated or not answered, calls to the store are held up, its writes are done 2.5 s later and not answered, or a server's answers are held up for 1.2 s; then the holder of the lease is stopped, killed, or left. A server leads 300 ms after the order.

--- a/Tests/Platform/Standin/GroupStandin.cpp
+++ b/Tests/Platform/Standin/GroupStandin.cpp
@@ -58,28 +58,48 @@
     if (server->mPrimary) {
       return true;
     }
-    std::uint64_t term = 0;
-    for (const auto& other : mServers) {
-      term = std::max(term, other->mTerm);
-      if (other->mPrimary) {
-        other->mDeposedAt = std::chrono::steady_clock::now();
-      }
+    if (mPromotionDelay.count() > 0) {
+      server->mLeadsAt = std::chrono::steady_clock::now() + mPromotionDelay;
+    } else {
+      Lead(*server);
+      Advance();
     }
-    server->mPrimary = true;
-    server->mDeposedAt.reset();
-    server->mTerm = term + 1;
-    server->mPauseTerm = 0;
-    Advance();
     return true;
   }
   return false;
 }
 
+void
+GroupStandin::SetPromotionDelay(std::chrono::milliseconds aDelay)
+{
+  mPromotionDelay = aDelay;
+}
+
+void
+GroupStandin::Lead(Server& aServer)
+{
+  std::uint64_t term = 0;
+  for (const auto& server : mServers) {
+    term = std::max(term, server->mTerm);
+    if (server->mPrimary) {
+      server->mDeposedAt = std::chrono::steady_clock::now();
+    }
+  }
+  aServer.mPrimary = true;
+  aServer.mDeposedAt.reset();
+  aServer.mTerm = term + 1;
+  aServer.mPauseTerm = 0;
+  if (mOnLeading) {
+    mOnLeading(aServer.mData);
+  }
+}
+
 void
 GroupStandin::Kill(std::size_t aServer)
 {
   Server& server = *mServers[aServer];
   server.mDown = true;
+  server.mLeadsAt.reset();
   server.mListener.reset();
   for (const auto& connection : server.mConnections) {
     connection->mLines->Socket().Close();
@@ -108,6 +128,18 @@
   Advance();
 }
 
+std::optional<std::size_t>
+GroupStandin::LeadingServer()
+{
+  const Server* const leader = Leader();
+  for (std::size_t n = 0; n < mServers.size(); ++n) {
+    if (mServers[n].get() == leader) {
+      return n;
+    }
+  }
+  return std::nullopt;
+}
+
 bool
 GroupStandin::IsPrimary(std::size_t aServer) const
 {
@@ -174,6 +206,12 @@
       server->mPrimary = false;
       server->mDeposedAt.reset();
     }
+    if (server->mLeadsAt && now >= *server->mLeadsAt) {
+      server->mLeadsAt.reset();
+      if (!server->mPrimary) {
+        Lead(*server);
+      }
+    }
   }
   for (const auto& server : mServers) {
     if (!server->mPrimary || server->mDown || !Replicate(*server)) {
--- a/Tests/Platform/Standin/GroupStandin.h
+++ b/Tests/Platform/Standin/GroupStandin.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -30,9 +31,16 @@
 
   std::string NameOf(std::size_t aServer) const;
 
-  /// Promotes a server; returns false if it is not running.
+  /// Promotes a server, at once or after the delay; returns false if it is not
+  /// running.
   bool Promote(const std::string& aServer);
 
+  /// Has servers lead some time after they were promoted, if they still run.
+  void SetPromotionDelay(std::chrono::milliseconds aDelay);
+
+  /// The server that leads the newest term; nothing if there is none.
+  std::optional<std::size_t> LeadingServer();
+
   /// Ends a server and all its connections.
   void Kill(std::size_t aServer);
 
@@ -54,6 +62,8 @@
   /// Statements that ran with other session values than they should have
   /// had, or in another's transaction.
   std::vector<std::string> mViolations;
+  /// Called with the log of a server that begins to lead.
+  std::function<void(const std::map<std::string, std::string>&)> mOnLeading;
 
 private:
   struct Server;
@@ -110,6 +120,8 @@
     bool mDown = false;
     bool mDeaf = false;
     bool mPrimary = false;
+    /// When it leads, after it was promoted.
+    std::optional<std::chrono::steady_clock::time_point> mLeadsAt;
     /// When another server was promoted while this one led.
     std::optional<std::chrono::steady_clock::time_point> mDeposedAt;
     std::uint64_t mTerm = 1;
@@ -120,17 +132,22 @@
   /// The server of the highest term that leads, or nullptr.
   Server* Leader();
 
+  /// Has a server lead the next term with the log that it has.
+  void Lead(Server& aServer);
+
   /// Has all replicas that can receive take the leader's log. Returns whether
   /// there is one that does.
   bool Replicate(const Server& aPrimary);
 
   /// Answers the commits that have been received by a replica now, and has
-  /// servers that were replaced a second ago follow.
+  /// servers that were replaced a second ago follow and servers lead whose
+  /// time has come.
   void Advance();
   void OnTimer() { Advance(); }
 
   cxxtools::Timer mTimer;
   std::string mName;
+  std::chrono::milliseconds mPromotionDelay{ 0 };
   std::vector<std::unique_ptr<Server>> mServers;
 };
 
--- a/Tests/Platform/Standin/SiteStandin.cpp
+++ b/Tests/Platform/Standin/SiteStandin.cpp
@@ -14,6 +14,7 @@
 constexpr int kFirstServerPort = 2;
 constexpr unsigned kOk = 200;
 constexpr unsigned kConflict = 409;
+constexpr unsigned kUnavailable = 503;
 
 class WakeEvent : public cxxtools::BasicEvent<WakeEvent>
 {};
@@ -145,7 +146,17 @@
   mOrders.emplace_back(
     aRequest.mHeaders.at("camphorstep-lease-holder"),
     std::stoull(aRequest.mHeaders.at("camphorstep-fencing-token")));
-  const bool good = mGroup.Promote(*platform::TextOf(order, "Id"));
+  if (mPromotionFault == PromotionFault::Refuse) {
+    mPromotions.Answer(aRequest.mClient, kUnavailable, "{}");
+    return;
+  }
+  const std::string server = *platform::TextOf(order, "Id");
+  const bool good = mGroup.Promote(server);
+  if (mPromotionFault == PromotionFault::Repeat) {
+    mGroup.Promote(server);
+  } else if (mPromotionFault == PromotionFault::LoseAnswers) {
+    return;
+  }
   mPromotions.Answer(aRequest.mClient, good ? kOk : kConflict, "{}");
 }
 
--- a/Tests/Platform/Standin/SiteStandin.h
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -14,6 +15,18 @@
 
 namespace camphorstep::standin {
 
+/// What the platform does to all calls that promote a server.
+enum class PromotionFault : std::uint8_t
+{
+  None,
+  /// Refuses them without doing anything.
+  Refuse,
+  /// Does what it is asked and does not answer.
+  LoseAnswers,
+  /// Does what it is asked twice.
+  Repeat,
+};
+
 /// A small site on loopback addresses: the platform's store and promotions,
 /// and one group of backend servers, in a thread of its own.
 class SiteStandin : public cxxtools::Connectable
@@ -52,6 +65,9 @@
   HttpStandin& Promotions() { return mPromotions; }
   StoreStandin& Store() { return mStore; }
 
+  /// What becomes of orders to promote from now on.
+  void SetPromotionFault(PromotionFault aFault) { mPromotionFault = aFault; }
+
   /// Holders and fencing tokens of the orders to promote, in order.
   const std::vector<std::pair<std::string, std::uint64_t>>& Orders() const
   {
@@ -70,6 +86,7 @@
   cxxtools::EventLoop mLoop;
   StoreStandin mStore;
   HttpStandin mPromotions;
+  PromotionFault mPromotionFault = PromotionFault::None;
   GroupStandin mGroup;
   std::vector<std::pair<std::string, std::uint64_t>> mOrders;
   std::mutex mMutex;
--- a/Tests/Platform/Standin/StoreStandin.cpp
+++ b/Tests/Platform/Standin/StoreStandin.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double kTimerMs = 20.0;
+/// How much later a late write is done.
+constexpr std::chrono::milliseconds kWriteDelay{ 2'500 };
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kGone = 410;
@@ -62,6 +64,15 @@
   AnswerWatches();
 }
 
+std::string
+StoreStandin::Value(const std::string& aTable, const std::string& aKey) const
+{
+  const auto it = mRows.find({ aTable, aKey });
+  return it == mRows.end()
+           ? ""
+           : platform::ReadBase64(it->second.mValue).value_or("");
+}
+
 bool
 StoreStandin::Has(const std::string& aTable, const std::string& aKey) const
 {
@@ -122,6 +133,8 @@
                          std::stoull(Parameter(aRequest, "after")),
                          Clock::now() + wait });
     AnswerWatches();
+  } else if (aRequest.mPath == "/rows-tx" && mFault == StoreFault::LateWrites) {
+    mLateWrites.push_back({ aRequest, Clock::now() + kWriteDelay });
   } else if (aRequest.mPath == "/rows-tx") {
     HandleTransaction(aRequest);
   } else {
@@ -191,9 +204,22 @@
 void
 StoreStandin::OnTimer()
 {
+  DoLateWrites();
   AnswerWatches();
 }
 
+void
+StoreStandin::DoLateWrites()
+{
+  while (!mLateWrites.empty() && Clock::now() >= mLateWrites.front().mAt) {
+    HttpRequest request = std::move(mLateWrites.front().mRequest);
+    mLateWrites.pop_front();
+    // Nobody gets the answer.
+    request.mClient = 0;
+    HandleTransaction(request);
+  }
+}
+
 void
 StoreStandin::AnswerWatches()
 {
--- a/Tests/Platform/Standin/StoreStandin.h
+++ b/Tests/Platform/Standin/StoreStandin.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -22,6 +23,9 @@
   Silent,
   /// Does what it is asked and does not answer writes.
   LoseAnswers,
+  /// Does writes some seconds later, if their conditions hold by then, and does
+  /// not answer them.
+  LateWrites,
 };
 
 /// The platform's store: rows in tables, conditional transactions and a feed
@@ -39,6 +43,9 @@
   /// Removes a row from the side.
   void Drop(const std::string& aTable, const std::string& aKey);
 
+  /// The value of a row, or an empty text.
+  std::string Value(const std::string& aTable, const std::string& aKey) const;
+
   /// Whether a row exists.
   bool Has(const std::string& aTable, const std::string& aKey) const;
 
@@ -50,6 +57,8 @@
   /// What the store does from now on.
   void SetFault(StoreFault aFault) { mFault = aFault; }
 
+  HttpStandin& Http() { return mHttp; }
+
 private:
   using Clock = std::chrono::steady_clock;
 
@@ -71,11 +80,20 @@
     Clock::time_point mEnd;
   };
 
+  /// A write that is done later.
+  struct LateWrite
+  {
+    HttpRequest mRequest;
+    Clock::time_point mAt;
+  };
+
   void Answer(std::uint64_t aClient,
               unsigned aStatus,
               const std::string& aBody);
   void Handle(const HttpRequest& aRequest);
   void HandleTransaction(const HttpRequest& aRequest);
+  /// Does the writes whose time has come.
+  void DoLateWrites();
   void PutEncoded(const std::string& aTable,
                   const std::string& aKey,
                   const std::string& aValue);
@@ -94,6 +112,8 @@
   std::uint64_t mEra = 1;
   StoreFault mFault = StoreFault::None;
   std::vector<Watch> mWatches;
+  /// In the order of their times.
+  std::deque<LateWrite> mLateWrites;
 };
 
 }
--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <optional>
 #include <ostream>
-#include <random>
 #include <thread>
 
 #include "Common/NamedEnum.h"
+#include "PromotionFaults.h"
 
 namespace camphorstep::soak {
 
@@ -15,6 +16,7 @@
 
 constexpr std::size_t kServers = 3;
 constexpr std::int64_t kSlowMicros = 150'000;
+constexpr std::int64_t kHeldUpMicros = 1'200'000;
 constexpr int kMeanGapMs = 700;
 constexpr int kLongestMs = 3'500;
 
@@ -37,6 +39,18 @@
   EnumName<FaultKind>{ FaultKind::StoreLosesAnswers, "store loses answers" },
   EnumName<FaultKind>{ FaultKind::Publish, "publish" },
   EnumName<FaultKind>{ FaultKind::StoreReturns, "store returns from a copy" },
+  EnumName<FaultKind>{ FaultKind::HoldUpPromotions, "hold up promotions" },
+  EnumName<FaultKind>{ FaultKind::LetPromotionsPass, "let promotions pass" },
+  EnumName<FaultKind>{ FaultKind::LosePromotionAnswers,
+                       "lose promotions' answers" },
+  EnumName<FaultKind>{ FaultKind::RefusePromotions, "refuse promotions" },
+  EnumName<FaultKind>{ FaultKind::RepeatPromotions, "repeat promotions" },
+  EnumName<FaultKind>{ FaultKind::HoldUpStore, "hold up calls to the store" },
+  EnumName<FaultKind>{ FaultKind::StoreWritesLate, "store writes late" },
+  EnumName<FaultKind>{ FaultKind::HoldUpAnswers, "hold up server's answers" },
+  EnumName<FaultKind>{ FaultKind::KillPrimary, "kill primary" },
+  EnumName<FaultKind>{ FaultKind::KillHolder, "kill holder of the lease" },
+  EnumName<FaultKind>{ FaultKind::StopHolder, "stop holder of the lease" },
 };
 /// The kinds before StoreReturns, whose faults are drawn apart so that the
 /// others of a seed stay the same.
@@ -61,16 +75,52 @@
       return standin::StoreFault::Silent;
     case FaultKind::StoreLosesAnswers:
       return standin::StoreFault::LoseAnswers;
+    case FaultKind::StoreWritesLate:
+      return standin::StoreFault::LateWrites;
     default:
       return standin::StoreFault::None;
   }
 }
 
-/// A random number below a bound.
-std::size_t
-Draw(std::mt19937_64& aRandom, std::size_t aBelow)
+standin::PromotionFault
+PromotionFaultOf(FaultKind aKind)
 {
-  return static_cast<std::size_t>(aRandom() % aBelow);
+  switch (aKind) {
+    case FaultKind::LosePromotionAnswers:
+      return standin::PromotionFault::LoseAnswers;
+    case FaultKind::RefusePromotions:
+      return standin::PromotionFault::Refuse;
+    case FaultKind::RepeatPromotions:
+      return standin::PromotionFault::Repeat;
+    default:
+      return standin::PromotionFault::None;
+  }
+}
+
+/// Adds faults of processes, servers, links and the store.
+void
+AddOutsideFaults(std::vector<Fault>& aSchedule,
+                 std::uint64_t aSeed,
+                 std::chrono::milliseconds aLength,
+                 std::size_t aGateways)
+{
+  std::mt19937_64 random(aSeed);
+  const auto draw = [&random](std::size_t aBelow) {
+    return Draw(random, aBelow);
+  };
+  std::chrono::milliseconds at{ 0 };
+  for (;;) {
+    at += std::chrono::milliseconds(draw(2 * kMeanGapMs));
+    if (at >= aLength) {
+      break;
+    }
+    Fault fault;
+    fault.mAt = at;
+    fault.mKind = kNames.at(draw(kDrawnKinds)).mValue;
+    fault.mTarget = draw(IsForGateway(fault.mKind) ? aGateways : kServers);
+    fault.mDuration = std::chrono::milliseconds(50 + draw(kLongestMs));
+    aSchedule.push_back(fault);
+  }
 }
 
 void
@@ -93,11 +143,6 @@
     at += fault.mDuration;
     aSchedule.push_back(fault);
   }
-  std::stable_sort(aSchedule.begin(),
-                   aSchedule.end(),
-                   [](const Fault& aFirst, const Fault& aSecond) {
-                     return aFirst.mAt < aSecond.mAt;
-                   });
 }
 
 void
@@ -116,6 +161,12 @@
 
 }
 
+std::size_t
+Draw(std::mt19937_64& aRandom, std::size_t aBelow)
+{
+  return static_cast<std::size_t>(aRandom() % aBelow);
+}
+
 std::ostream&
 operator<<(std::ostream& aOut, const Fault& aFault)
 {
@@ -127,27 +178,20 @@
 std::vector<Fault>
 MakeSchedule(std::uint64_t aSeed,
              std::chrono::milliseconds aLength,
-             std::size_t aGateways)
+             std::size_t aGateways,
+             bool aOnlyPromotions)
 {
-  std::mt19937_64 random(aSeed);
-  const auto draw = [&random](std::size_t aBelow) {
-    return Draw(random, aBelow);
-  };
   std::vector<Fault> schedule;
-  std::chrono::milliseconds at{ 0 };
-  for (;;) {
-    at += std::chrono::milliseconds(draw(2 * kMeanGapMs));
-    if (at >= aLength) {
-      break;
-    }
-    Fault fault;
-    fault.mAt = at;
-    fault.mKind = kNames.at(draw(kDrawnKinds)).mValue;
-    fault.mTarget = draw(IsForGateway(fault.mKind) ? aGateways : kServers);
-    fault.mDuration = std::chrono::milliseconds(50 + draw(kLongestMs));
-    schedule.push_back(fault);
+  if (!aOnlyPromotions) {
+    AddOutsideFaults(schedule, aSeed, aLength, aGateways);
+    AddStoreReturns(schedule, aSeed, aLength);
   }
-  AddStoreReturns(schedule, aSeed, aLength);
+  AddPromotionFaults(schedule, aSeed, aLength, kServers);
+  std::stable_sort(schedule.begin(),
+                   schedule.end(),
+                   [](const Fault& aFirst, const Fault& aSecond) {
+                     return aFirst.mAt < aSecond.mAt;
+                   });
   return schedule;
 }
 
@@ -222,6 +266,32 @@
     case FaultKind::StoreReturns:
       mSite->Do([&] { mSite->Store().KeepCopy(); });
       break;
+    case FaultKind::HoldUpPromotions:
+      mSite->Do([&] { mSite->Promotions().SetHoldingUp(true); });
+      break;
+    case FaultKind::LetPromotionsPass:
+      mSite->Do([&] { mSite->Promotions().SetHoldingUp(false); });
+      break;
+    case FaultKind::LosePromotionAnswers:
+    case FaultKind::RefusePromotions:
+    case FaultKind::RepeatPromotions:
+      SetPromotionFault(aFault.mKind);
+      break;
+    case FaultKind::HoldUpStore:
+      mSite->Do([&] { mSite->Store().Http().SetHoldingUp(true); });
+      break;
+    case FaultKind::HoldUpAnswers:
+      mRelays[n]->Backward().mDelayMicros = kHeldUpMicros;
+      break;
+    case FaultKind::KillPrimary:
+      KillPrimary(aFault);
+      break;
+    case FaultKind::KillHolder:
+      SignalHolder(aGateways, SIGKILL);
+      break;
+    case FaultKind::StopHolder:
+      SignalHolder(aGateways, SIGTERM);
+      break;
     default:
       mSite->Do([&] { mSite->Store().SetFault(StoreFaultOf(aFault.mKind)); });
       break;
@@ -247,13 +317,39 @@
       SetCut(*mRelays[n], false);
       break;
     case FaultKind::DelayServer:
+    case FaultKind::HoldUpAnswers:
       SetDelay(*mRelays[n], 0);
       break;
     case FaultKind::StoreRefuses:
     case FaultKind::StoreIsSilent:
     case FaultKind::StoreLosesAnswers:
+    case FaultKind::StoreWritesLate:
       mSite->Do([&] { mSite->Store().SetFault(standin::StoreFault::None); });
       break;
+    case FaultKind::HoldUpPromotions:
+      mSite->Do([&] {
+        mSite->Promotions().SetHoldingUp(false);
+        mSite->Promotions().DeliverHeldUp();
+      });
+      break;
+    case FaultKind::LosePromotionAnswers:
+    case FaultKind::RefusePromotions:
+    case FaultKind::RepeatPromotions:
+      SetPromotionFault(FaultKind::LetPromotionsPass);
+      break;
+    case FaultKind::HoldUpStore:
+      mSite->Do([&] {
+        mSite->Store().Http().SetHoldingUp(false);
+        mSite->Store().Http().DeliverHeldUp();
+      });
+      break;
+    case FaultKind::KillPrimary:
+      if (const auto it = mKilledPrimaries.find(aFault.mAt);
+          it != mKilledPrimaries.end()) {
+        mSite->Do([&] { mSite->Group().Revive(it->second); });
+        mKilledPrimaries.erase(it);
+      }
+      break;
     case FaultKind::StoreReturns:
       mSite->Do([&] { mSite->Store().ReturnFromCopy(); });
       WriteConfiguration();
@@ -263,6 +359,36 @@
   }
 }
 
+void
+Targets::KillPrimary(const Fault& aFault)
+{
+  mSite->Do([&] {
+    const std::optional<std::size_t> server = mSite->Group().LeadingServer();
+    if (server) {
+      mSite->Group().Kill(*server);
+      mKilledPrimaries[aFault.mAt] = *server;
+    }
+  });
+}
+
+void
+Targets::SignalHolder(const Gateways& aGateways, int aSignal)
+{
+  std::string lease;
+  mSite->Do([&] { lease = mSite->Store().Value("camphorstep", "promoter"); });
+  for (std::size_t n = 0; n < aGateways.Count(); ++n) {
+    if (lease.find("\"h" + std::to_string(n) + "\"") != std::string::npos) {
+      aGateways.Signal(n, aSignal);
+    }
+  }
+}
+
+void
+Targets::SetPromotionFault(FaultKind aKind)
+{
+  mSite->Do([&] { mSite->SetPromotionFault(PromotionFaultOf(aKind)); });
+}
+
 void
 Targets::Publish()
 {
--- a/Tests/Soak/Faults.h
+++ b/Tests/Soak/Faults.h
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <cstdint>
 #include <iosfwd>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,26 @@
   Publish,
   /// The store loses what it acknowledged during the fault.
   StoreReturns,
+  /// Orders to promote are held up and arrive at the end.
+  HoldUpPromotions,
+  /// Further orders to promote arrive at once; those held up stay so.
+  LetPromotionsPass,
+  /// The platform does what it is asked and does not answer.
+  LosePromotionAnswers,
+  RefusePromotions,
+  RepeatPromotions,
+  /// All calls to the store are held up and arrive at the end.
+  HoldUpStore,
+  /// Writes of the store are done later and not answered.
+  StoreWritesLate,
+  /// Answers of a server, with those to status requests, are held up.
+  HoldUpAnswers,
+  /// Ends the server that leads.
+  KillPrimary,
+  /// Ends the gateway that holds the promoter's lease.
+  KillHolder,
+  /// Stops it as planned.
+  StopHolder,
 };
 
 /// A fault of a schedule.
@@ -50,10 +72,15 @@
 
 std::ostream& operator<<(std::ostream& aOut, const Fault& aFault);
 
-/// The faults of a seed, in the order of their times.
+/// A random number below a bound.
+std::size_t Draw(std::mt19937_64& aRandom, std::size_t aBelow);
+
+/// The faults of a seed, in the order of their times: all, or only those
+/// around changes of primary, of which there are more without the others.
 std::vector<Fault> MakeSchedule(std::uint64_t aSeed,
                                 std::chrono::milliseconds aLength,
-                                std::size_t aGateways);
+                                std::size_t aGateways,
+                                bool aOnlyPromotions);
 
 /// What faults are done to.
 class Targets
@@ -71,6 +98,10 @@
   std::uint64_t Version() const { return mVersion; }
 
 private:
+  /// Notes which server it ended.
+  void KillPrimary(const Fault& aFault);
+  void SignalHolder(const Gateways& aGateways, int aSignal);
+  void SetPromotionFault(FaultKind aKind);
   void Publish();
   /// Writes the configuration that was published last.
   void WriteConfiguration();
@@ -80,6 +111,8 @@
   std::vector<LinkRelay*> mRelays;
   std::unique_ptr<standin::SiteStandin> mSite;
   std::uint64_t mVersion = 0;
+  /// Primaries that faults ended, by the times of the faults.
+  std::map<std::chrono::milliseconds, std::size_t> mKilledPrimaries;
 };
 
 }
--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -60,10 +60,25 @@
   return { mFailures.begin(), mFailures.end() };
 }
 
+void
+Ledger::CheckKept(const std::map<std::string, std::string>& aData)
+{
+  const std::lock_guard lock(mMutex);
+  for (const std::uint64_t id : mAcknowledged) {
+    for (const std::string& item : mAttempts.at(id).mItems) {
+      if (!aData.contains(item)) {
+        mFailures.insert("an acknowledged write is kept: " + item +
+                         " is not there");
+      }
+    }
+  }
+}
+
 void
 Ledger::CheckEffects(const std::map<std::string, int>& aEffects,
                      const std::map<std::string, std::string>& aData)
 {
+  CheckKept(aData);
   std::set<std::string> known;
   const std::lock_guard lock(mMutex);
   for (const auto& [id, attempt] : mAttempts) {
@@ -79,10 +94,6 @@
         mFailures.insert("a promise that nothing is kept is true: " + item +
                          " took effect");
       }
-      if (attempt.mFate == Fate::Acknowledged && !aData.contains(item)) {
-        mFailures.insert("an acknowledged write is kept: " + item +
-                         " is not there");
-      }
     }
   }
   for (const auto& [item, n] : aEffects) {
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -47,6 +47,9 @@
   void Fail(const std::string& aRule, const std::string& aSeen);
   std::vector<std::string> Failures() const;
 
+  /// Checks that a server's log has each write that was acknowledged.
+  void CheckKept(const std::map<std::string, std::string>& aData);
+
   /// Checks how often each write took effect, and what the primary holds.
   void CheckEffects(const std::map<std::string, int>& aEffects,
                     const std::map<std::string, std::string>& aData);
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -26,10 +26,12 @@
 /// within this time, and a published configuration has to be in force.
 constexpr std::chrono::seconds kRecoveryTime{ 12 };
 constexpr std::chrono::milliseconds kStep{ 20 };
-/// Ports of a run: the site's, then the relays', then the gateways'.
-constexpr std::uint16_t kSitePort = 21'000;
-constexpr std::uint16_t kRelayPort = 21'010;
-constexpr std::uint16_t kGatewayPort = 21'100;
+/// A server leads some time after the order to promote it.
+constexpr std::chrono::milliseconds kPromotionDelay{ 300 };
+/// Ports of a run, from its first one on: the site's, then the relays', then
+/// the gateways'.
+constexpr std::uint16_t kRelayPorts = 10;
+constexpr std::uint16_t kGatewayPorts = 100;
 
 /// How a run is made.
 struct Options
@@ -38,6 +40,8 @@
   std::string mFolder;
   std::uint64_t mSeed = 1;
   std::chrono::seconds mLength{ 12 };
+  bool mOnlyPromotions = false;
+  std::uint16_t mFirstPort = 21'000;
   std::size_t mGateways = 4;
   std::size_t mCallers = 12;
 };
@@ -180,15 +184,24 @@
 {
   std::filesystem::create_directories(aOptions.mFolder);
   Ledger ledger;
-  Targets targets(kSitePort, kRelayPort);
+  const std::uint16_t port = aOptions.mFirstPort;
+  Targets targets(port, static_cast<std::uint16_t>(port + kRelayPorts));
+  targets.Site().Do([&] {
+    targets.Site().Group().SetPromotionDelay(kPromotionDelay);
+    targets.Site().Group().mOnLeading = [&ledger](const auto& aData) {
+      ledger.CheckKept(aData);
+    };
+  });
   Gateways gateways(aOptions.mProgram,
                     aOptions.mFolder,
                     aOptions.mGateways,
-                    kGatewayPort,
-                    kSitePort);
+                    static_cast<std::uint16_t>(port + kGatewayPorts),
+                    port);
   CheckRecovery(targets, gateways, ledger, "before");
-  const std::vector<Fault> schedule =
-    MakeSchedule(aOptions.mSeed, aOptions.mLength, aOptions.mGateways);
+  const std::vector<Fault> schedule = MakeSchedule(aOptions.mSeed,
+                                                   aOptions.mLength,
+                                                   aOptions.mGateways,
+                                                   aOptions.mOnlyPromotions);
   std::uint64_t served = 0;
   {
     Callers callers(gateways, ledger, aOptions.mCallers, aOptions.mSeed);
@@ -217,7 +230,8 @@
   std::cout << "logs in " << aOptions.mFolder << "; again with --seed "
             << aOptions.mSeed << " --seconds " << aOptions.mLength.count()
             << " --gateways " << aOptions.mGateways << " --callers "
-            << aOptions.mCallers << "\n";
+            << aOptions.mCallers
+            << (aOptions.mOnlyPromotions ? " --only-promotions" : "") << "\n";
   return EXIT_FAILURE;
 }
 
@@ -239,6 +253,10 @@
   add("seconds",
       "how long faults come",
       cxxopts::value<int>()->default_value("12"));
+  add("only-promotions", "only faults around changes of primary");
+  add("port",
+      "first of the ports, of about 120",
+      cxxopts::value<std::uint16_t>()->default_value("21000"));
   add(
     "gateways", "how many", cxxopts::value<std::size_t>()->default_value("4"));
   add(
@@ -253,6 +271,8 @@
   run.mFolder = result["folder"].as<std::string>();
   run.mSeed = result["seed"].as<std::uint64_t>();
   run.mLength = std::chrono::seconds(result["seconds"].as<int>());
+  run.mOnlyPromotions = result.count("only-promotions") > 0;
+  run.mFirstPort = result["port"].as<std::uint16_t>();
   run.mGateways = result["gateways"].as<std::size_t>();
   run.mCallers = result["callers"].as<std::size_t>();
   return Run(run);
