--- a/Tests/Promotions/PromotionsMain.cpp
+++ b/Tests/Promotions/PromotionsMain.cpp
@@ -34,7 +34,9 @@
               "  [--calls-outlive-sender]  orders arrive after they are given "
               "up\n"
               "  [--no-era-guard]          the lease's condition is a number "
-              "alone\n");
+              "alone\n"
+              "  [--listing-ms TIME]       when a new server is listed, at the "
+              "latest\n");
   return 2;
 }
 
@@ -48,6 +50,9 @@
       aOptions.mFirst = std::strtoull(aArguments[++n], nullptr, 10);
     } else if (name == "--seeds" && hasValue) {
       aOptions.mSeeds = std::strtoull(aArguments[++n], nullptr, 10);
+    } else if (name == "--listing-ms" && hasValue) {
+      aOptions.mRules.mMaxListingDelay =
+        std::chrono::milliseconds(std::strtoull(aArguments[++n], nullptr, 10));
     } else if (name == "--trace") {
       aOptions.mRules.mIsTraced = true;
     } else if (name == "--no-shrink") {
--- a/Tests/Promotions/World.h
+++ b/Tests/Promotions/World.h
@@ -26,6 +26,9 @@
   bool mCallsOutliveSender = false;
   /// Whether writes of the lease look at the marks of later eras.
   bool mGuardsEra = true;
+  /// The most time between a new server's first receipt and its entry. A
+  /// promoter waits for kEvidenceTimeout before it reads the entries.
+  Duration mMaxListingDelay{ 900'000 };
   /// Prints what happens.
   bool mIsTraced = false;
 };
--- a/Tests/Promotions/WorldServers.cpp
+++ b/Tests/Promotions/WorldServers.cpp
@@ -322,7 +322,12 @@
   After(aWorld, DrawMilliseconds(aWorld.mRandom, 0, 1'500), [&aWorld] {
     const std::string joined = StartServer(aWorld, false);
     Trace(aWorld, joined + " joins");
-    ListServer(aWorld, joined, DrawMilliseconds(aWorld.mRandom, 50, 1'500));
+    ListServer(
+      aWorld,
+      joined,
+      DrawMilliseconds(aWorld.mRandom,
+                       50,
+                       static_cast<int>(aWorld.mRules.mMaxListingDelay / 1ms)));
   });
   aWorld.mServers.at(aName).mEntry.mLeaving = true;
   ListServer(aWorld, aName, 20ms);
