Tests: Vary the scenarios of the review in the random test

Cause: chance alone rarely brings together what the review's faults need.

Change: half of the runs start from one of five scenarios with random times: late orders, a lease of an earlier era, the last replica leaves, a server joins in a takeover, a refused promotion.

--- a/Tests/Promotions/Schedule.cpp
+++ b/Tests/Promotions/Schedule.cpp
@@ -17,11 +17,13 @@
 
 constexpr std::array<const char*,
                      static_cast<std::size_t>(DisruptionKind::Count)>
-  kKindNames{ "server crash",    "servers cut",    "replication cut",
-              "host-server cut", "hosts cut",      "host-store cut",
-              "store down",      "store return",   "promotions refused",
-              "orders held",     "link held",      "host freeze",
-              "host crash",      "server replaced" };
+  kKindNames{
+    "server crash",         "servers cut",     "replication cut",
+    "staying replicas cut", "host-server cut", "hosts cut",
+    "host-store cut",       "store down",      "store return",
+    "promotions refused",   "orders held",     "link held",
+    "host freeze",          "host crash",      "server replaced",
+  };
 
 constexpr std::array<const char*, 3> kRoleNames{ "leader",
                                                  "other 1",
@@ -79,6 +81,177 @@
   return drawn;
 }
 
+bool
+HasReplacement(const Schedule& aSchedule)
+{
+  return std::any_of(
+    aSchedule.begin(), aSchedule.end(), [](const Disruption& aDisruption) {
+      return aDisruption.mKind == DisruptionKind::ServerReplaced;
+    });
+}
+
+/// A disruption that meets the primary and the holder of the lease, within
+/// ranges of milliseconds.
+Disruption
+DrawWithin(std::mt19937_64& aRandom,
+           DisruptionKind aKind,
+           Duration aFrom,
+           std::pair<int, int> aAfterMs,
+           std::pair<int, int> aForMs)
+{
+  Disruption drawn;
+  drawn.mKind = aKind;
+  drawn.mAt =
+    aFrom + DrawMilliseconds(aRandom, aAfterMs.first, aAfterMs.second);
+  drawn.mFor = DrawMilliseconds(aRandom, aForMs.first, aForMs.second);
+  drawn.mAmount = DrawMilliseconds(aRandom, 200, 4'000);
+  return drawn;
+}
+
+/// The holder of the lease loses it while its orders are held up.
+Schedule
+LateOrders(std::mt19937_64& aRandom, Duration aFrom)
+{
+  constexpr std::array kEnds{ DisruptionKind::HostCrash,
+                              DisruptionKind::HostStoreCut,
+                              DisruptionKind::HostFreeze };
+  const DisruptionKind end =
+    kEnds.at(static_cast<std::size_t>(DrawNumber(aRandom, 0, 2)));
+  Schedule schedule{
+    DrawWithin(
+      aRandom, DisruptionKind::OrdersHeld, aFrom, { 0, 300 }, { 3'000, 6'000 }),
+    DrawWithin(aRandom,
+               DisruptionKind::ServerCrash,
+               aFrom,
+               { 0, 300 },
+               { 3'000, 9'000 }),
+    DrawWithin(aRandom, end, aFrom, { 1'000, 4'000 }, { 1'000, 8'000 }),
+  };
+  schedule[0].mAmount = DrawMilliseconds(aRandom, 500, 13'000);
+  return schedule;
+}
+
+/// The store returns from a copy and turns the holder of the lease away, and
+/// primaries are replaced.
+Schedule
+EarlierEra(std::mt19937_64& aRandom, Duration aFrom)
+{
+  Schedule schedule{
+    DrawWithin(aRandom,
+               DisruptionKind::StoreReturn,
+               aFrom,
+               { 0, 100 },
+               { 1'000, 2'500 }),
+    DrawWithin(aRandom,
+               DisruptionKind::HostStoreCut,
+               aFrom,
+               { 0, 500 },
+               { 5'000, 12'000 }),
+    DrawWithin(aRandom,
+               DisruptionKind::ServerCrash,
+               aFrom,
+               { 3'000, 8'000 },
+               { 2'000, 5'000 }),
+    DrawWithin(aRandom,
+               DisruptionKind::ServerCrash,
+               aFrom,
+               { 10'000, 15'000 },
+               { 2'000, 5'000 }),
+  };
+  return schedule;
+}
+
+/// The last replica that a primary reaches leaves, and the holder of the lease
+/// starts anew.
+Schedule
+LastReplicaLeaves(std::mt19937_64& aRandom, Duration aFrom)
+{
+  Schedule schedule{
+    DrawWithin(aRandom,
+               DisruptionKind::ServerReplaced,
+               aFrom,
+               { 0, 0 },
+               { 7'000, 9'500 }),
+    DrawWithin(aRandom,
+               DisruptionKind::StayingReplicasCut,
+               aFrom,
+               { 3'500, 8'500 },
+               { 4'000, 7'000 }),
+    DrawWithin(aRandom,
+               DisruptionKind::HostCrash,
+               aFrom,
+               { 7'000, 10'500 },
+               { 300, 1'000 }),
+  };
+  return schedule;
+}
+
+/// A server joins while the primary is cut from its replicas and the holder.
+Schedule
+JoinsInTakeover(std::mt19937_64& aRandom, Duration aFrom)
+{
+  Schedule schedule{
+    DrawWithin(aRandom,
+               DisruptionKind::ReplicationCut,
+               aFrom,
+               { 0, 50 },
+               { 3'000, 7'000 }),
+    DrawWithin(aRandom,
+               DisruptionKind::HostServerCut,
+               aFrom,
+               { 0, 50 },
+               { 3'000, 7'000 }),
+    DrawWithin(aRandom,
+               DisruptionKind::ServerReplaced,
+               aFrom,
+               { 0, 2'000 },
+               { 5'000, 9'000 }),
+  };
+  return schedule;
+}
+
+/// The platform refuses to promote, the primary comes back and a replica is
+/// restarted.
+Schedule
+RefusedPromotion(std::mt19937_64& aRandom, Duration aFrom)
+{
+  Schedule schedule{
+    DrawWithin(aRandom,
+               DisruptionKind::PromotionsRefused,
+               aFrom,
+               { 0, 500 },
+               { 3'000, 7'000 }),
+    DrawWithin(aRandom,
+               DisruptionKind::ServerCrash,
+               aFrom,
+               { 0, 300 },
+               { 1'500, 3'000 }),
+    DrawWithin(aRandom,
+               DisruptionKind::ServerCrash,
+               aFrom,
+               { 1'800, 4'500 },
+               { 300, 1'500 }),
+  };
+  schedule[2].mServer =
+    DrawChance(aRandom, 50) ? Role::FirstOther : Role::SecondOther;
+  return schedule;
+}
+
+using Scenario = Schedule (*)(std::mt19937_64&, Duration);
+
+constexpr std::array<Scenario, 5> kScenarios{
+  LateOrders, EarlierEra, LastReplicaLeaves, JoinsInTakeover, RefusedPromotion,
+};
+
+/// One of the scenarios that have shown faults before, varied.
+Schedule
+DrawScenario(std::mt19937_64& aRandom)
+{
+  const Scenario scenario = kScenarios.at(static_cast<std::size_t>(
+    DrawNumber(aRandom, 0, static_cast<int>(kScenarios.size()) - 1)));
+  return scenario(aRandom, DrawMilliseconds(aRandom, kFirstStartMs, 7'000));
+}
+
 }
 
 Duration
@@ -96,26 +269,26 @@
 Schedule
 MakeSchedule(std::mt19937_64& aRandom)
 {
-  Schedule schedule;
-  const int count = DrawNumber(aRandom, kMinDisruptions, kMaxDisruptions);
-  bool hasReplaced = false;
+  const bool isScenario = DrawChance(aRandom, 50);
+  Schedule schedule = isScenario ? DrawScenario(aRandom) : Schedule{};
+  const int count = isScenario
+                      ? DrawNumber(aRandom, 0, 3)
+                      : DrawNumber(aRandom, kMinDisruptions, kMaxDisruptions);
   for (int n = 0; n < count; ++n) {
     Disruption drawn = DrawDisruption(aRandom);
-    if (n == 0) {
+    if (schedule.empty()) {
       drawn.mKind = kPrimaryKinds.at(static_cast<std::size_t>(
         DrawNumber(aRandom, 0, static_cast<int>(kPrimaryKinds.size()) - 1)));
       drawn.mServer = Role::Leader;
-    }
-    if (drawn.mKind == DisruptionKind::ServerReplaced && hasReplaced) {
-      // Two copies of the data must not go at about the same time.
-      continue;
-    }
-    hasReplaced |= drawn.mKind == DisruptionKind::ServerReplaced;
-    if (!schedule.empty() && DrawChance(aRandom, 70)) {
+    } else if (DrawChance(aRandom, 70)) {
       drawn.mAt =
         schedule.back().mAt + DrawMilliseconds(aRandom, 0, kClusterMs);
     }
-    schedule.push_back(drawn);
+    // Two copies of the data must not go at about the same time.
+    if (drawn.mKind != DisruptionKind::ServerReplaced ||
+        !HasReplacement(schedule)) {
+      schedule.push_back(drawn);
+    }
   }
   std::stable_sort(schedule.begin(),
                    schedule.end(),
--- a/Tests/Promotions/Schedule.h
+++ b/Tests/Promotions/Schedule.h
@@ -21,6 +21,8 @@
   ServersCut,
   /// The first server reaches no other one.
   ReplicationCut,
+  /// The same, but it still reaches servers that are leaving.
+  StayingReplicasCut,
   /// A host does not reach a server.
   HostServerCut,
   /// Two hosts do not reach each other.
--- a/Tests/Promotions/World.cpp
+++ b/Tests/Promotions/World.cpp
@@ -12,7 +12,7 @@
 
 constexpr Instant kStart{ std::chrono::seconds(1000) };
 /// How long a run lasts.
-constexpr Duration kRunTime = 26s;
+constexpr Duration kRunTime = 28s;
 constexpr Duration kCopyInterval = 250ms;
 /// A connection that is cut for longer than this is given up.
 constexpr Duration kMaxRetransmission = 3s;
@@ -90,10 +90,14 @@
 }
 
 void
-CutReplication(World& aWorld, const std::string& aServer, Duration aFor)
+CutReplication(World& aWorld,
+               const std::string& aServer,
+               Duration aFor,
+               bool aSparesLeaving)
 {
   for (const auto& [name, server] : aWorld.mServers) {
-    if (name != aServer) {
+    const bool isSpared = aSparesLeaving && server.mEntry.mLeaving;
+    if (name != aServer && !isSpared) {
       Cut(aWorld, aServer, name, aFor);
     }
   }
@@ -121,7 +125,10 @@
       Cut(aWorld, server, other, length);
       break;
     case DisruptionKind::ReplicationCut:
-      CutReplication(aWorld, server, length);
+      CutReplication(aWorld, server, length, false);
+      break;
+    case DisruptionKind::StayingReplicasCut:
+      CutReplication(aWorld, server, length, true);
       break;
     case DisruptionKind::HostServerCut:
       Cut(aWorld, hostName, server, length);
