Group: Pause again before a replica is evidence; wait for entries to return (ONE, LOST)

Cause of the first: the promoted server crashed before anybody saw it lead. The promotion had ended the pauses, and the promoter waited for 3 s before it paused the replicas again; they were evidence after 2.5 s. It waits for 1.5 s now, which the compiler compares with the time without evidence.

Cause of the second: a server had joined while the store was away, and the list was read just after the store's return, before that server had written its entry. The list counts from 3 s after the last failed call now; the platform's page gives entries about two seconds.

--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -21,8 +21,12 @@
 namespace {
 
 /// How long a promoted candidate may take to become primary before fencing
-/// starts again.
-constexpr Duration kVerifyTimeout = 3s;
+/// starts again. The replicas must be paused again before they are evidence for
+/// the old primary: the candidate may have crashed before anybody saw it lead.
+constexpr Duration kVerifyTimeout = 1'500ms;
+static_assert(kVerifyTimeout + kStatusTimeout < kEvidenceProbation);
+/// How long after the store's return a server's entry may be missing.
+constexpr Duration kEntryReturnTimeout = 3s;
 /// Connections that a server's machine refuses in a row before the server
 /// counts as down.
 constexpr std::uint32_t kRefusalsUntilDown = 2;
@@ -374,7 +378,10 @@
     }
     return;
   }
-  if (!IsTableConfirmedSince(aContext, Table::Servers, waitEnd)) {
+  const Instant returned =
+    ProgressOf(aContext, Table::Servers).mFailedCallAt + kEntryReturnTimeout;
+  if (!IsTableConfirmedSince(
+        aContext, Table::Servers, std::max(waitEnd, returned))) {
     // A server that was listed meanwhile may have acknowledged writes. After a
     // failure the table has its own time of the next call.
     if (!IsTableFailing(aContext, Table::Servers)) {
