--- a/Tests/Promotions/WorldHosts.cpp
+++ b/Tests/Promotions/WorldHosts.cpp
@@ -63,8 +63,8 @@
 void
 CallStore(World& aWorld,
           std::size_t aHost,
-          std::function<EventBody()> aPerform,
-          std::function<EventBody(CallOutcome)> aFailure,
+          const std::function<EventBody()>& aPerform,
+          const std::function<EventBody(CallOutcome)>& aFailure,
           bool aWrites)
 {
   const Sender sender = SenderOf(aWorld, aHost);
--- a/Tests/Promotions/WorldServers.cpp
+++ b/Tests/Promotions/WorldServers.cpp
@@ -238,7 +238,7 @@
     const auto transit =
       DrawTransit(aWorld, aServer, aWorld.mHosts.at(host).mName);
     if (connection.mServer == aServer && transit) {
-      After(aWorld, *transit, [&aWorld, host, life, link] {
+      After(aWorld, *transit, [&aWorld, host = host, life = life, link = link] {
         Deliver(aWorld,
                 host,
                 life,
@@ -294,7 +294,7 @@
     std::string(1, static_cast<char>('a' + (number - 1) % kServerCount));
   server.mEntry.mStartedAt = BirthTime(aWorld);
   server.mIsPrimary = aIsPrimary;
-  const std::string name = server.mEntry.mName;
+  std::string name = server.mEntry.mName;
   aWorld.mServers[name] = std::move(server);
   return name;
 }
@@ -360,8 +360,8 @@
       After(aWorld,
             DrawMilliseconds(aWorld.mRandom, 2, 8),
             [&aWorld,
-             other,
-             name,
+             other = other,
+             name = name,
              term = primary.mTerm,
              length = primary.mLog.size()] {
               ReceiveLog(aWorld, other, name, term, length);
