Accounts: Types that the parts of the hard load share

Cause: client accounts, rate limits, shared connections and the memory budget are built side by side and meet in a few types. Nothing fills or reads them yet. Measured: the program builds; no test was run on this commit.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -47,6 +47,8 @@
   bool mControl = false;
   Instant mOpenedAt;
   Instant mIdleSince;
+  /// The client account whose statements it carries.
+  AccountId mAccount;
   /// The session whose statement or transaction it carries.
   SessionId mSession;
   std::deque<Exchange> mExchanges;
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -54,6 +54,9 @@
   std::string mGroup;
   /// The name of the server that is expected at the address.
   std::string mServer;
+  /// The client account in whose name the connection is opened; empty for
+  /// connections that belong to none.
+  std::string mAccount = {};
 };
 
 struct CloseLink
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <variant>
 
+#include "Accounts/KeyDigest.h"
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
 #include "Gateway/PeerMessage.h"
@@ -18,6 +19,10 @@
 {
   SessionId mSession;
   std::string mDatabase;
+  /// The digest of the caller's key; none if it gave no key.
+  KeyDigest mKey = {};
+  /// Whether another host passes the session on to this one.
+  bool mIsRelayed = false;
 };
 
 struct StatementReceived
--- a/Source/Gateway/StoreRecord.h
+++ b/Source/Gateway/StoreRecord.h
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <vector>
 
+#include "Accounts/ClientAccount.h"
 #include "Common/Time.h"
 #include "Gateway/Ids.h"
 #include "Gateway/StoreVersion.h"
@@ -80,6 +81,9 @@
   std::vector<GroupRules> mGroups;
   /// A transaction without a statement for this long may be rolled back.
   Duration mTransactionIdleTimeout{ 10'000'000 };
+  /// The client accounts; none if the deployment has none. Reports between
+  /// hosts carry them apart from the rest; see PeerReport.
+  std::optional<AccountRules> mAccountRules;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
--- a/Source/Session/SessionState.h
+++ b/Source/Session/SessionState.h
@@ -100,6 +100,10 @@
 {
   SessionId mId;
   std::string mDatabase;
+  /// The caller's key, and the client account that it belongs to; none on
+  /// public routes and in deployments without accounts.
+  KeyDigest mKey;
+  AccountId mAccount;
   std::map<std::string, std::string> mValues;
   std::map<std::string, PreparedStatement> mPrepared;
   Transaction mTransaction;
