--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -1,20 +1,15 @@
 #include "Group/Takeover.h"
 
 #include <algorithm>
-#include <array>
-#include <string>
-#include <string_view>
 #include <utility>
-#include <vector>
 
 #include "Catalogue/Tables.h"
-#include "Common/NamedEnum.h"
-#include "Fleet/Silence.h"
 #include "Gateway/Tuning.h"
-#include "Group/Copies.h"
 #include "Group/Fencing.h"
 #include "Group/Promoter.h"
 #include "Group/Sampling.h"
+#include "Group/TakeoverLog.h"
+#include "Group/TakeoverReason.h"
 
 namespace camphorstep::gateway {
 
@@ -27,98 +22,6 @@
 static_assert(kVerifyTimeout + kStatusTimeout < kEvidenceProbation);
 /// How long after the store's return a server's entry may be missing.
 constexpr Duration kEntryReturnTimeout = 3s;
-/// Connections that a server's machine refuses in a row before the server
-/// counts as down.
-constexpr std::uint32_t kRefusalsUntilDown = 2;
-
-constexpr std::array kReasonNames{
-  EnumName<TakeoverReason>{ TakeoverReason::NoPrimary, "group has no primary" },
-  EnumName<TakeoverReason>{ TakeoverReason::Silent, "primary is silent" },
-  EnumName<TakeoverReason>{ TakeoverReason::SilentToMany,
-                            "primary is silent to half of the hosts" },
-  EnumName<TakeoverReason>{ TakeoverReason::Leaving, "primary is leaving" },
-  EnumName<TakeoverReason>{ TakeoverReason::NotReplicating,
-                            "primary reaches no replica" },
-  EnumName<TakeoverReason>{ TakeoverReason::Interrupted,
-                            "another promoter left the replicas paused" },
-};
-
-bool
-IsDown(const Context& aContext, const Backend& aBackend)
-{
-  // During a stall this host could not receive messages, and before it became
-  // the promoter it did not send any.
-  const Instant lastContact =
-    std::max({ aBackend.mLastReceivedAt,
-               aContext.mState.mResumedAt,
-               aContext.mState.mPromoter.mHeldSince });
-  return aContext.mNow - lastContact > kPrimarySilenceTimeout ||
-         (aBackend.mRefusals >= kRefusalsUntilDown && !aBackend.mControlLink);
-}
-
-/// Whether another server with a recent status, which is not leaving, could
-/// become primary.
-bool
-HasSuccessor(const Context& aContext, const Group& aGroup)
-{
-  return std::any_of(
-    aGroup.mServers.begin(), aGroup.mServers.end(), [&](ServerId aId) {
-      const Backend* const backend = Find(aContext.mState.mBackends, aId);
-      return backend != nullptr && aId != aGroup.mPrimary &&
-             !backend->mLeavingSince && HasRecentStatus(aContext, *backend);
-    });
-}
-
-std::optional<TakeoverReason>
-ReasonWithPrimary(const Context& aContext,
-                  const Group& aGroup,
-                  const Backend& aPrimary)
-{
-  if (IsDown(aContext, aPrimary)) {
-    return TakeoverReason::Silent;
-  }
-  if (IsSilentToMany(aContext, aPrimary.mId)) {
-    return TakeoverReason::SilentToMany;
-  }
-  if (aPrimary.mLeavingSince && HasSuccessor(aContext, aGroup)) {
-    return TakeoverReason::Leaving;
-  }
-  if (aGroup.mReplicationStalledSince &&
-      aContext.mNow - *aGroup.mReplicationStalledSince >
-        kReplicationStallTimeout) {
-    return TakeoverReason::NotReplicating;
-  }
-  if (CountPaused(aContext, aGroup) + 1 >= CountCopies(aGroup)) {
-    return TakeoverReason::Interrupted;
-  }
-  return std::nullopt;
-}
-
-/// Returns why the primary of a group is to be replaced now; nothing if it is
-/// not.
-std::optional<TakeoverReason>
-ReasonToReplace(Context& aContext, Group& aGroup)
-{
-  if (CountCopies(aGroup) < 2) {
-    return std::nullopt;
-  }
-  if (const Backend* const primary =
-        Find(aContext.mState.mBackends, aGroup.mPrimary)) {
-    aGroup.mNoPrimarySince.reset();
-    return ReasonWithPrimary(aContext, aGroup, *primary);
-  }
-  if (CountRecentStatuses(aContext, aGroup) + 1 < CountCopies(aGroup)) {
-    aGroup.mNoPrimarySince.reset();
-    return std::nullopt;
-  }
-  if (!aGroup.mNoPrimarySince) {
-    aGroup.mNoPrimarySince = aContext.mNow;
-  }
-  if (aContext.mNow - *aGroup.mNoPrimarySince < kPrimarySilenceTimeout) {
-    return std::nullopt;
-  }
-  return TakeoverReason::NoPrimary;
-}
 
 /// Notes that no promotion can have been requested if two servers are not
 /// paused: before a promotion, all servers but one have to be.
@@ -159,14 +62,7 @@
   takeover.mStartedAt = aContext.mNow;
   aGroup.mNoPrimarySince.reset();
   aGroup.mReplicationStalledSince.reset();
-  Log(aContext,
-      LogSeverity::Warning,
-      "replacing the primary",
-      { { "group", aGroup.mName },
-        { "reason", std::string(NameIn(kReasonNames, aReason)) },
-        { "term", std::to_string(aGroup.mTerm) },
-        { "fencing_token", std::to_string(token) },
-        { "fence_term", std::to_string(takeover.mFenceTerm) } });
+  LogTakeoverStart(aContext, aGroup);
   SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
   ContinueFencing(aContext, aGroup);
 }
@@ -180,51 +76,6 @@
                   aContext.mState.mPromoter.mHeldUntil);
 }
 
-/// How old the list of servers is that this host knows.
-std::string
-ServerListAge(const Context& aContext)
-{
-  const TableProgress& servers = aContext.mState.mCatalogue.mTables.at(
-    static_cast<std::size_t>(Table::Servers));
-  return Milliseconds(aContext.mNow - servers.mConfirmedAt);
-}
-
-std::string
-ServerListVersion(const Context& aContext)
-{
-  return std::to_string(aContext.mState.mCatalogue.mTables
-                          .at(static_cast<std::size_t>(Table::Servers))
-                          .mVersion);
-}
-
-/// Logs an order to promote, with what the choice of the server rests on.
-void
-LogOrder(Context& aContext, const Group& aGroup, const Backend& aCandidate)
-{
-  const Takeover& takeover = aGroup.mTakeover;
-  const PromoterLease& lease = aContext.mState.mPromoter.mLease;
-  Log(
-    aContext,
-    LogSeverity::Warning,
-    "asking the platform to promote a server",
-    { { "group", aGroup.mName },
-      { "server", aCandidate.mEntry.mName },
-      { "received", Describe(aCandidate.mStatus->mReceived) },
-      { "fencing_token", std::to_string(lease.mToken) },
-      { "order", std::to_string(takeover.mOrder.mValue) },
-      { "term", std::to_string(aGroup.mTerm) },
-      { "fence_term", std::to_string(takeover.mFenceTerm) },
-      { "lease_left_ms", Milliseconds(PromoterLeaseLeft(aContext)) },
-      { "expires_in_ms", Milliseconds(OrderExpiry(aContext) - aContext.mNow) },
-      { "copies", std::to_string(CountCopies(aGroup)) },
-      { "paused", std::to_string(CountPaused(aContext, aGroup)) },
-      { "statuses", DescribeStatuses(aContext, aGroup) },
-      { "list_version", ServerListVersion(aContext) },
-      { "list_age_ms", ServerListAge(aContext) },
-      { "since_start_ms",
-        Milliseconds(aContext.mNow - takeover.mStartedAt) } });
-}
-
 void
 RequestPromotion(Context& aContext, Group& aGroup, const Backend& aCandidate)
 {
@@ -236,15 +87,16 @@
   takeover.mOrder = takeover.mCall;
   takeover.mOrderedAt = aContext.mNow;
   ++aContext.mState.mCounters.mPromotionOrders;
-  LogOrder(aContext, aGroup, aCandidate);
   const PromoterLease& lease = aContext.mState.mPromoter.mLease;
+  const Instant expiry = OrderExpiry(aContext);
+  LogOrder(aContext, aGroup, aCandidate, expiry);
   Emit(aContext,
        PromoteServer{ takeover.mCall,
                       aGroup.mName,
                       aCandidate.mEntry.mName,
                       lease.mHolder,
                       lease.mToken,
-                      OrderExpiry(aContext) });
+                      expiry });
   SetPhase(aContext, aGroup, TakeoverPhase::Promoting);
 }
 
@@ -270,13 +122,7 @@
 void
 DropTakeover(Context& aContext, Group& aGroup)
 {
-  Log(aContext,
-      LogSeverity::Info,
-      "primary has answered and is kept",
-      { { "group", aGroup.mName },
-        { "term", std::to_string(aGroup.mTerm) },
-        { "after_ms",
-          Milliseconds(aContext.mNow - aGroup.mTakeover.mStartedAt) } });
+  LogPrimaryKept(aContext, aGroup);
   aGroup.mTakeover = Takeover{};
 }
 
@@ -300,38 +146,11 @@
 RestartFencing(Context& aContext, Group& aGroup)
 {
   ++aContext.mState.mCounters.mTakeoverRestarts;
-  Log(aContext,
-      LogSeverity::Warning,
-      "a server was not paused before the promotion; pausing all again",
-      { { "group", aGroup.mName },
-        { "term", std::to_string(aGroup.mTerm) },
-        { "order", std::to_string(aGroup.mTakeover.mOrder.mValue) },
-        { "statuses", DescribeStatuses(aContext, aGroup) },
-        { "since_start_ms",
-          Milliseconds(aContext.mNow - aGroup.mTakeover.mStartedAt) } });
+  LogFencingRestart(aContext, aGroup);
   SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
   ContinueFencing(aContext, aGroup);
 }
 
-/// Logs, once for each takeover, that it waits for the list of servers.
-void
-LogListWait(Context& aContext, Group& aGroup)
-{
-  Takeover& takeover = aGroup.mTakeover;
-  if (std::exchange(takeover.mIsListWaitLogged, true)) {
-    return;
-  }
-  Log(aContext,
-      LogSeverity::Info,
-      "waiting for the list of servers before the promotion",
-      { { "group", aGroup.mName },
-        { "term", std::to_string(aGroup.mTerm) },
-        { "list_version", ServerListVersion(aContext) },
-        { "list_age_ms", ServerListAge(aContext) },
-        { "since_start_ms",
-          Milliseconds(aContext.mNow - takeover.mStartedAt) } });
-}
-
 /// Notes that a server is not paused although an order to promote was given,
 /// and logs it if the order is underway.
 void
@@ -346,15 +165,7 @@
     // The restart of the takeover is logged.
     return;
   }
-  Log(aContext,
-      LogSeverity::Warning,
-      "a server is not paused after the order to promote",
-      { { "group", aGroup.mName },
-        { "term", std::to_string(aGroup.mTerm) },
-        { "order", std::to_string(takeover.mOrder.mValue) },
-        { "statuses", DescribeStatuses(aContext, aGroup) },
-        { "since_order_ms",
-          Milliseconds(aContext.mNow - takeover.mOrderedAt) } });
+  LogFenceBroken(aContext, aGroup);
 }
 
 void
@@ -387,7 +198,9 @@
     if (!IsTableFailing(aContext, Table::Servers)) {
       PollTableSoon(aContext, Table::Servers);
     }
-    LogListWait(aContext, aGroup);
+    if (!std::exchange(takeover.mIsListWaitLogged, true)) {
+      LogListWait(aContext, aGroup);
+    }
     return;
   }
   if (const Backend* const candidate = BestCandidate(aContext, aGroup)) {
@@ -433,14 +246,7 @@
       return;
     }
     ++aContext.mState.mCounters.mPromotions;
-    Log(aContext,
-        LogSeverity::Info,
-        "primary is replaced",
-        { { "group", aGroup.mName },
-          { "term", std::to_string(aGroup.mTerm) },
-          { "order", std::to_string(takeover.mOrder.mValue) },
-          { "statuses", DescribeStatuses(aContext, aGroup) },
-          { "took_ms", Milliseconds(aContext.mNow - takeover.mStartedAt) } });
+    LogPrimaryReplaced(aContext, aGroup);
     takeover = Takeover{};
     return;
   }
@@ -449,64 +255,6 @@
   }
 }
 
-std::string_view
-DescribeOutcome(CallOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case CallOutcome::Ok:
-      return "promoted";
-    case CallOutcome::Conflict:
-      return "server is not running";
-    case CallOutcome::Unknown:
-      return "not confirmed";
-    default:
-      return "refused";
-  }
-}
-
-/// Logs the outcome of the order to promote that a takeover waits for.
-void
-LogOrderAnswer(Context& aContext, const Group& aGroup, CallOutcome aOutcome)
-{
-  const Takeover& takeover = aGroup.mTakeover;
-  const bool isPromoted = aOutcome == CallOutcome::Ok;
-  const PromoterLease& lease = aContext.mState.mPromoter.mLease;
-  Log(aContext,
-      isPromoted ? LogSeverity::Info : LogSeverity::Warning,
-      isPromoted ? "the platform has promoted the server"
-                 : "the platform did not promote the server",
-      { { "group", aGroup.mName },
-        { "order", std::to_string(takeover.mCall.mValue) },
-        { "fencing_token", std::to_string(lease.mToken) },
-        { "outcome", std::string(DescribeOutcome(aOutcome)) },
-        { "took_ms", Milliseconds(aContext.mNow - takeover.mOrderedAt) },
-        { "lease_left_ms", Milliseconds(PromoterLeaseLeft(aContext)) } });
-}
-
-/// Logs the outcome of an order to promote that no takeover waits for: its
-/// effect was seen before, or the change of primary was given up.
-void
-LogUnawaitedAnswer(Context& aContext, const PromoteAnswered& aAnswer)
-{
-  std::vector<LogValue> values{
-    { "order", std::to_string(aAnswer.mCall.mValue) },
-    { "outcome", std::string(DescribeOutcome(aAnswer.mOutcome)) },
-    { "lease_left_ms", Milliseconds(PromoterLeaseLeft(aContext)) }
-  };
-  for (const auto& [id, group] : aContext.mState.mGroups) {
-    const Takeover& takeover = group.mTakeover;
-    if (takeover.mOrder == aAnswer.mCall) {
-      values.push_back({ "group", group.mName });
-      values.push_back(
-        { "took_ms", Milliseconds(aContext.mNow - takeover.mOrderedAt) });
-    }
-  }
-  Log(aContext,
-      LogSeverity::Info,
-      "an order to promote has ended that is not waited for",
-      std::move(values));
-}
-
 }
 
 void
@@ -515,13 +263,7 @@
   Takeover& takeover = aGroup.mTakeover;
   if (!HoldsPromoterLease(aContext)) {
     if (takeover.mPhase != TakeoverPhase::None) {
-      Log(aContext,
-          LogSeverity::Warning,
-          "change of primary left to the next promoter",
-          { { "group", aGroup.mName },
-            { "term", std::to_string(aGroup.mTerm) },
-            { "order", std::to_string(takeover.mOrder.mValue) },
-            { "answered", takeover.mCall ? "no" : "yes" } });
+      LogTakeoverLeft(aContext, aGroup);
       takeover = Takeover{};
     }
     return;
