Rate limits: Have operations wait for their tokens

Cause: the decisions on accounts' limits were not called. Change: a single statement, or the first of a transaction, of an account with a limit takes a token before it is routed, and may wait for one (StatementStage::AwaitingToken). Hosts exchange shares and tokens on the connections of their queries, as new kinds of PeerMessage that are sent only where an account has a limit. The limits come from RoutingVersion::mAccountRules and Session::mAccount, which nothing fills yet.

--- a/Source/Catalogue/Hosts.cpp
+++ b/Source/Catalogue/Hosts.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "RateLimits/RateLimits.h"
+
 namespace camphorstep::gateway {
 
 namespace {
@@ -45,6 +47,7 @@
   }
   const bool hasChanged = next != hosts;
   hosts = std::move(next);
+  NoteHosts(aContext, aAnswer);
   RestoreOwnEntry(aContext, aAnswer.mVersion);
   return hasChanged;
 }
--- a/Source/Catalogue/Routing.cpp
+++ b/Source/Catalogue/Routing.cpp
@@ -1,5 +1,7 @@
 #include "Catalogue/Routing.h"
 
+#include "RateLimits/RateLimits.h"
+
 namespace camphorstep::gateway {
 
 bool
@@ -27,6 +29,7 @@
     group.mName = rules.mName;
     group.mRules = rules;
   }
+  ApplyLimits(aContext, aVersion);
   return true;
 }
 
--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -14,6 +14,7 @@
 #include "Gateway/Tuning.h"
 #include "Group/Copies.h"
 #include "Group/Promoter.h"
+#include "RateLimits/RateLimits.h"
 
 namespace camphorstep::gateway {
 
@@ -380,6 +381,7 @@
   catalogue.mRegistered = aEvent.mOutcome == CallOutcome::Ok;
   if (catalogue.mRegistered) {
     catalogue.mRegisteredVersion = aEvent.mVersion;
+    NoteOwnEntryWritten(aContext);
     PollTableSoon(aContext, Table::Fleet);
   } else {
     aContext.mState.mTimers.Arm(
--- a/Source/Gateway/Counters.h
+++ b/Source/Gateway/Counters.h
@@ -19,6 +19,16 @@
   LatencyHistogram mLatency;
 };
 
+/// Counters of the limits of client accounts.
+struct RateLimitCounters
+{
+  /// Operations that got a token, and those that were refused.
+  std::uint64_t mAllowed = 0;
+  std::uint64_t mRefused = 0;
+  /// Tokens given to other hosts.
+  std::uint64_t mGiven = 0;
+};
+
 /// Monotonic counters, exported as metrics.
 struct Counters
 {
@@ -44,6 +54,7 @@
   /// primary.
   std::uint64_t mCommitsUnproved = 0;
   std::uint64_t mStoreCalls = 0;
+  RateLimitCounters mRateLimits;
 };
 
 }
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -143,6 +143,21 @@
   PeerReport mReport;
 };
 
+/// Asks the host at an address about accounts' limits, on the connection that
+/// queries use. Dropped if there is none.
+struct SendRateLimitQuery
+{
+  Address mAddress;
+  RateLimitQuery mQuery;
+};
+
+/// Answers another host's question about accounts' limits.
+struct SendRateLimitReport
+{
+  PeerLinkId mLink;
+  RateLimitReport mReport;
+};
+
 /// Sets whether this host reports to the load balancer that it is ready for new
 /// callers.
 struct SetReady
@@ -166,6 +181,8 @@
                             PromoteServer,
                             SendPeerQuery,
                             SendPeerReport,
+                            SendRateLimitQuery,
+                            SendRateLimitReport,
                             SetReady,
                             StopComplete,
                             WriteLogRecord>;
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -88,6 +88,20 @@
   PeerQuery mQuery;
 };
 
+/// Another host asks about accounts' limits.
+struct RateLimitQueryReceived
+{
+  PeerLinkId mLink;
+  RateLimitQuery mQuery;
+};
+
+/// The host that was queried last has answered a question about accounts'
+/// limits.
+struct RateLimitReportReceived
+{
+  RateLimitReport mReport;
+};
+
 /// A part of the report of the host that was queried last has arrived.
 struct PeerReportArriving
 {};
@@ -103,6 +117,7 @@
   std::unordered_map<std::string, std::string> mRegions;
   /// How long a planned stop may take before the process is killed.
   Duration mStopGrace{ 0 };
+  LimitBounds mLimitBounds = {};
 };
 
 /// The process has been asked to stop.
@@ -125,6 +140,8 @@
                                PeerQueryReceived,
                                PeerReport,
                                PeerReportArriving,
+                               RateLimitQueryReceived,
+                               RateLimitReportReceived,
                                PeerConnectionLost,
                                SettingsChanged,
                                StopRequested,
--- a/Source/Gateway/PeerMessage.h
+++ b/Source/Gateway/PeerMessage.h
@@ -12,6 +12,7 @@
 #include "Gateway/Ids.h"
 #include "Gateway/StoreRecord.h"
 #include "Model/Position.h"
+#include "RateLimits/RateLimitMessage.h"
 #include "Wire/Packed.h"
 
 namespace camphorstep::gateway {
@@ -162,7 +163,9 @@
   }
 };
 
-/// A message between two hosts.
-using PeerMessage = std::variant<PeerQuery, PeerReport>;
+/// A message between two hosts. Those about limits are sent only where accounts
+/// have limits.
+using PeerMessage =
+  std::variant<PeerQuery, PeerReport, RateLimitQuery, RateLimitReport>;
 
 }
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -13,6 +13,7 @@
 #include "Gateway/Ids.h"
 #include "Gateway/Timers.h"
 #include "Group/GroupState.h"
+#include "RateLimits/RateLimitState.h"
 #include "Session/SessionState.h"
 
 namespace camphorstep::gateway {
@@ -57,6 +58,7 @@
   Catalogue mCatalogue;
   PromoterState mPromoter;
   FleetState mFleet;
+  RateLimitState mRateLimits;
   Counters mCounters;
 };
 
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -12,6 +12,7 @@
 #include "Group/Promoter.h"
 #include "Group/Sampling.h"
 #include "Group/Takeover.h"
+#include "RateLimits/RateLimits.h"
 #include "Session/Execution.h"
 #include "Session/Outcomes.h"
 #include "Session/Sessions.h"
@@ -70,6 +71,14 @@
   {
     HandlePeerReportArriving(mContext);
   }
+  void operator()(const RateLimitQueryReceived& aEvent) const
+  {
+    HandleRateLimitQuery(mContext, aEvent);
+  }
+  void operator()(const RateLimitReportReceived& aEvent) const
+  {
+    HandleRateLimitReport(mContext, aEvent);
+  }
   void operator()(const PeerReport& aEvent) const
   {
     HandlePeerReported(mContext, aEvent);
@@ -78,6 +87,7 @@
   {
     mContext.mState.mSelf.mRegions = aEvent.mRegions;
     mContext.mState.mSelf.mStopGrace = aEvent.mStopGrace;
+    mContext.mState.mRateLimits.mBounds = aEvent.mLimitBounds;
   }
   void operator()(const StopRequested&) const { BeginStop(mContext); }
   void operator()(const TimePassed&) const {}
@@ -122,6 +132,12 @@
     case TimerKind::SendPeerReports:
       AnswerPendingQueries(aContext);
       break;
+    case TimerKind::Shares:
+      ExchangeShares(aContext);
+      break;
+    case TimerKind::TokenRequests:
+      ExpireTokenRequests(aContext, AccountId{ aId });
+      break;
     case TimerKind::Stop:
       ContinueStop(aContext);
       break;
--- a/Source/Gateway/Timers.h
+++ b/Source/Gateway/Timers.h
@@ -28,6 +28,10 @@
   PromoterLease,
   QueryPeer,
   SendPeerReports,
+  /// Shares of accounts' limits are to be exchanged.
+  Shares,
+  /// Operations of an account have waited for too long for their tokens.
+  TokenRequests,
   Stop,
 };
 
--- a/Source/Model/ResultCode.cpp
+++ b/Source/Model/ResultCode.cpp
@@ -79,6 +79,10 @@
   ResultCodeRow{ ResultCode::TooManyConnections,
                  "too-many-connections",
                  "The backend server takes no more connections." },
+  ResultCodeRow{ ResultCode::RateLimited,
+                 "rate-limited",
+                 "The client account is over its limit; retry after the "
+                 "hint." },
   ResultCodeRow{ ResultCode::HistoryLost,
                  "history-lost",
                  "The session saw writes that a change of primary lost." },
--- a/Source/Model/ResultCode.h
+++ b/Source/Model/ResultCode.h
@@ -42,6 +42,7 @@
   TransactionLimit = 203,
   Stopping = 204,
   TooManyConnections = 205,
+  RateLimited = 206,
 
   HistoryLost = 301,
   ReplicaBehind = 302,
--- a/Source/Session/Answers.cpp
+++ b/Source/Session/Answers.cpp
@@ -12,12 +12,14 @@
 
 /// One in this many successful statements is logged.
 constexpr std::uint64_t kSuccessLogInterval = 128;
+/// One in this many refusals of operations over a limit is logged.
+constexpr std::uint64_t kOverLimitLogInterval = 64;
 /// The codes with which a failed attempt has had no lasting effect.
 constexpr std::array kCodesWithoutEffect{
   ResultCode::Overloaded,         ResultCode::TransactionAborted,
   ResultCode::ReplicaBehind,      ResultCode::PrimaryChanged,
   ResultCode::NoPrimary,          ResultCode::Stopping,
-  ResultCode::TooManyConnections,
+  ResultCode::TooManyConnections, ResultCode::RateLimited,
 };
 
 Rank
@@ -198,4 +200,33 @@
   Emit(aContext, std::move(answer));
 }
 
+void
+RefuseOverLimit(Context& aContext, Session& aSession, Duration aRetryAfter)
+{
+  const ActiveStatement& active = *aSession.mActive;
+  CountOutcome(aContext.mState.mCounters.mRanks[IndexOf(RankOf(active))],
+               ResultCode::RateLimited);
+  const RateLimitState& limits = aContext.mState.mRateLimits;
+  const std::uint64_t refused = aContext.mState.mCounters.mRateLimits.mRefused;
+  if (refused % kOverLimitLogInterval == 1) {
+    const LimitedAccount* const account =
+      Find(limits.mAccounts, aSession.mAccount);
+    auto values = Describe(aContext, aSession, active);
+    values.push_back({ "account", account == nullptr ? "" : account->mName });
+    values.push_back({ "retry_after_ms", Milliseconds(aRetryAfter) });
+    Log(aContext,
+        LogSeverity::Info,
+        "statement refused: its account is over its limit",
+        std::move(values));
+  }
+  AnswerCaller answer;
+  answer.mSession = aSession.mId;
+  answer.mCode = ResultCode::RateLimited;
+  answer.mErrorText = "the account is over its limit; retry after " +
+                      Milliseconds(aRetryAfter) + " ms";
+  answer.mState = aSession.mTransaction.mState;
+  EndActive(aContext, aSession);
+  Emit(aContext, std::move(answer));
+}
+
 }
--- a/Source/Session/Answers.h
+++ b/Source/Session/Answers.h
@@ -29,6 +29,12 @@
                    ResultCode aCode,
                    const std::string& aReason);
 
+/// Refuses the active statement because its account is over its limit, and ends
+/// it. The caller is told when to return.
+void RefuseOverLimit(Context& aContext,
+                     Session& aSession,
+                     Duration aRetryAfter);
+
 /// Whether a code guarantees to the caller that its attempt has had no lasting
 /// effect, so that it can be retried.
 bool HasNoEffect(ResultCode aCode);
--- a/Source/Session/Outcomes.cpp
+++ b/Source/Session/Outcomes.cpp
@@ -222,6 +222,7 @@
 CanWait(const ActiveStatement& aActive, Instant aNow)
 {
   switch (aActive.mStage) {
+    case StatementStage::AwaitingToken:
     case StatementStage::AwaitingServer:
     case StatementStage::AwaitingRetry:
       return aNow < aActive.mDeadline;
--- a/Source/Session/SessionState.h
+++ b/Source/Session/SessionState.h
@@ -26,6 +26,8 @@
 /// The stage of processing of a session's statement.
 enum class StatementStage : std::uint8_t
 {
+  /// Waits for a token of its account's limit.
+  AwaitingToken,
   /// Waits until the group has a proven primary or a fresh replica.
   AwaitingServer,
   /// Waits in the queue of a server.
@@ -70,6 +72,8 @@
   /// The server that refused or lost it last; avoided if there is another.
   ServerId mAvoidedServer;
   QueuePlace mPlace;
+  /// The request for a token that it waits for; zero if it does not.
+  std::uint64_t mTokenRequest = 0;
 };
 
 /// The transaction of a session.
@@ -78,6 +82,8 @@
   TransactionState mState = TransactionState::None;
   bool mReadOnly = false;
   bool mHasWritten = false;
+  /// Whether it was counted against its account's limit.
+  bool mIsAllowed = false;
   /// The number of statements that succeeded in it.
   std::uint32_t mStatements = 0;
   /// The route at its beginning, used until its end.
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -6,6 +6,7 @@
 #include "Backend/Pool.h"
 #include "Gateway/Stopping.h"
 #include "Gateway/Tuning.h"
+#include "RateLimits/RateLimits.h"
 #include "Session/Answers.h"
 #include "Session/Execution.h"
 #include "Session/Routing.h"
@@ -139,6 +140,16 @@
   aSession.mActive = std::move(active);
   aContext.mState.mTimers.Arm(
     TimerKind::Statement, aSession.mId.mValue, aSession.mActive->mDeadline);
+  if (RequestAllowance(aContext, aSession)) {
+    StartActiveStatement(aContext, aSession);
+  }
+}
+
+}
+
+void
+StartActiveStatement(Context& aContext, Session& aSession)
+{
   RunActiveStatement(aContext, aSession);
   if (aSession.mActive && IsWaitHopeless(aContext, aSession)) {
     LeaveQueue(aContext, aSession);
@@ -150,6 +161,8 @@
   }
 }
 
+namespace {
+
 void
 StartStatement(Context& aContext,
                Session& aSession,
--- a/Source/Session/Sessions.h
+++ b/Source/Session/Sessions.h
@@ -16,6 +16,10 @@
 /// the host is stopping, closes a session that is idle.
 void ContinueSession(Context& aContext, SessionId aSession);
 
+/// Routes the active statement of a session to a server, or refuses it if it
+/// would wait in vain.
+void StartActiveStatement(Context& aContext, Session& aSession);
+
 /// Rolls back a transaction that has been idle for longer than its limit.
 void EndIdleTransaction(Context& aContext, SessionId aSession);
 
--- a/Source/Settings/GatewaySettings.cpp
+++ b/Source/Settings/GatewaySettings.cpp
@@ -11,6 +11,10 @@
 
 constexpr std::string_view kDataCentrePrefix = "data_centre.";
 constexpr std::int64_t kMaxGraceMs = 600'000;
+constexpr std::int64_t kMinWindowMs = 100;
+constexpr std::int64_t kMaxWindowMs = 3'600'000;
+constexpr double kMaxOverage = 10.0;
+constexpr double kMaxSlack = 1'000'000.0;
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1'000.0;
 
@@ -34,6 +38,12 @@
     aSettings.mMetricsAddress = RequireAddress(reader, "metrics");
   } else if (aSection.mName == "stop") {
     reader.ReadMilliseconds("grace_ms", aSettings.mStopGrace, 1, kMaxGraceMs);
+  } else if (aSection.mName == "rate_limits") {
+    gateway::LimitBounds& bounds = aSettings.mLimitBounds;
+    reader.ReadMilliseconds(
+      "window_ms", bounds.mWindow, kMinWindowMs, kMaxWindowMs);
+    reader.Read("overage", bounds.mOverage, 0.0, kMaxOverage);
+    reader.Read("slack", bounds.mSlack, 0.0, kMaxSlack);
   } else if (aSection.mName == "platform") {
     aSettings.mStoreAddress = RequireAddress(reader, "store");
     aSettings.mPromotionAddress = RequireAddress(reader, "promotions");
--- a/Source/Settings/GatewaySettings.h
+++ b/Source/Settings/GatewaySettings.h
@@ -6,6 +6,7 @@
 #include "Common/IniFile.h"
 #include "Common/Time.h"
 #include "Model/Topology.h"
+#include "RateLimits/Limit.h"
 
 namespace camphorstep {
 
@@ -28,6 +29,10 @@
   /// How long a stop may take before the process is killed.
   Duration mStopGrace{ 6'000'000 };
 
+  // [rate_limits]
+  /// How far the operations in a window may exceed an account's limit.
+  gateway::LimitBounds mLimitBounds;
+
   // [platform]
   Address mStoreAddress;
   Address mPromotionAddress;
--- a/Source/Shell/GatewayPeers.cpp
+++ b/Source/Shell/GatewayPeers.cpp
@@ -55,6 +55,23 @@
   }
 }
 
+void
+GatewayPeers::Carry(const gateway::SendRateLimitQuery& aEffect)
+{
+  if (mOutgoing && aEffect.mAddress == mOutgoingAddress) {
+    mOutgoing->Send(Encode(gateway::PeerMessage(aEffect.mQuery)));
+  }
+}
+
+void
+GatewayPeers::Carry(const gateway::SendRateLimitReport& aEffect)
+{
+  const auto it = mIncoming.find(aEffect.mLink);
+  if (it != mIncoming.end()) {
+    it->second->Send(Encode(gateway::PeerMessage(aEffect.mReport)));
+  }
+}
+
 void
 GatewayPeers::OnPending(cxxtools::net::TcpServer& aListener)
 {
@@ -95,6 +112,9 @@
     const auto message = Decode<gateway::PeerMessage>(aPayload);
     if (const auto* const query = std::get_if<gateway::PeerQuery>(&message)) {
       mSink.Deliver(gateway::PeerQueryReceived{ aLink, *query });
+    } else if (const auto* const limitQuery =
+                 std::get_if<gateway::RateLimitQuery>(&message)) {
+      mSink.Deliver(gateway::RateLimitQueryReceived{ aLink, *limitQuery });
     }
   } catch (const DecodeError& ex) {
     WriteLog(LogLevel::Warning,
@@ -111,6 +131,9 @@
     const auto message = Decode<gateway::PeerMessage>(aPayload);
     if (const auto* const report = std::get_if<gateway::PeerReport>(&message)) {
       mSink.Deliver(*report);
+    } else if (const auto* const limitReport =
+                 std::get_if<gateway::RateLimitReport>(&message)) {
+      mSink.Deliver(gateway::RateLimitReportReceived{ *limitReport });
     }
   } catch (const DecodeError& ex) {
     WriteLog(LogLevel::Warning,
--- a/Source/Shell/GatewayPeers.h
+++ b/Source/Shell/GatewayPeers.h
@@ -26,6 +26,8 @@
 
   void Carry(const gateway::SendPeerQuery& aEffect);
   void Carry(const gateway::SendPeerReport& aEffect);
+  void Carry(const gateway::SendRateLimitQuery& aEffect);
+  void Carry(const gateway::SendRateLimitReport& aEffect);
 
 private:
   void OnPending(cxxtools::net::TcpServer& aListener);
--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -61,6 +61,7 @@
                                                     kThousandths) };
   state.mSelf.mRegions = aSettings.mRegions;
   state.mSelf.mStopGrace = aSettings.mStopGrace;
+  state.mRateLimits.mBounds = aSettings.mLimitBounds;
   return state;
 }
 
@@ -155,6 +156,12 @@
   } else if (const auto* const answer =
                std::get_if<gateway::SendPeerReport>(&aEffect)) {
     mPeers.Carry(*answer);
+  } else if (const auto* const limitQuery =
+               std::get_if<gateway::SendRateLimitQuery>(&aEffect)) {
+    mPeers.Carry(*limitQuery);
+  } else if (const auto* const limitReport =
+               std::get_if<gateway::SendRateLimitReport>(&aEffect)) {
+    mPeers.Carry(*limitReport);
   } else if (std::holds_alternative<StopComplete>(aEffect)) {
     mAdapter->Flush();
     mLoop.exit();
@@ -210,8 +217,8 @@
     mSettings = settings;
     mAdapter->ChangeSettings(mSettings);
     WriteLog(LogLevel::Info, "settings reloaded");
-    Deliver(
-      gateway::SettingsChanged{ mSettings.mRegions, mSettings.mStopGrace });
+    Deliver(gateway::SettingsChanged{
+      mSettings.mRegions, mSettings.mStopGrace, mSettings.mLimitBounds });
   } catch (const std::exception& ex) {
     WriteLog(LogLevel::Error,
              "settings were not reloaded; the former ones stay in force",
