--- a/Source/Settings/GatewaySettings.cpp
+++ b/Source/Settings/GatewaySettings.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t kMaxGraceMs = 600'000;
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1'000.0;
+constexpr std::int64_t kMaxMemoryMb = 1'000'000;
+constexpr std::int64_t kMaxDescriptors = 10'000'000;
 
 void
 ReadSection(const IniFile& aFile,
@@ -27,6 +29,10 @@
                 aSettings.mProcessorShare,
                 kMinProcessorShare,
                 kMaxProcessorShare);
+    reader.Read(
+      "memory_mb", aSettings.mMemoryMb, std::int64_t{ 0 }, kMaxMemoryMb);
+    reader.Read(
+      "descriptors", aSettings.mDescriptors, std::int64_t{ 0 }, kMaxDescriptors);
   } else if (aSection.mName == "listen") {
     aSettings.mCallerAddress = RequireAddress(reader, "callers");
     aSettings.mReadinessAddress = RequireAddress(reader, "readiness");
--- a/Source/Settings/GatewaySettings.h
+++ b/Source/Settings/GatewaySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 
@@ -17,6 +18,10 @@
   std::string mDataCentre;
   /// The processor time that the host may use, in cores.
   double mProcessorShare = 1.0;
+  /// The memory that the process may use, in megabytes; 0 sets no limit.
+  std::int64_t mMemoryMb = 0;
+  /// The descriptors that the process may open; 0 sets no limit.
+  std::int64_t mDescriptors = 0;
 
   // [listen]
   Address mCallerAddress;
--- a/Tests/Platform/Standin/GroupStandin.cpp
+++ b/Tests/Platform/Standin/GroupStandin.cpp
@@ -264,6 +264,9 @@
 void
 GroupStandin::Server::OnPending(cxxtools::net::TcpServer& aListener)
 {
+  std::erase_if(mConnections, [](const auto& aConnection) {
+    return aConnection->mLines->Socket().IsClosed();
+  });
   mConnections.push_back(std::make_unique<Connection>());
   Connection* const connection = mConnections.back().get();
   connection->mLines = std::make_unique<platform::LineConnection>(
@@ -444,8 +447,17 @@
   }
   return std::string("ROW ") + (mPrimary ? "primary " : "replica ") +
          std::to_string(mTerm) + " " + PositionText() + " " +
-         std::to_string(mPauseTerm) + " 0 0 " +
-         std::to_string(mConnections.size()) + "\r\n" + kDone;
+         std::to_string(mPauseTerm) + " 0 0 " + std::to_string(CountOpen()) +
+         "\r\n" + kDone;
+}
+
+std::size_t
+GroupStandin::Server::CountOpen() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mConnections.begin(), mConnections.end(), [](const auto& aConnection) {
+      return !aConnection->mLines->Socket().IsClosed();
+    }));
 }
 
 std::string
--- a/Tests/Platform/Standin/GroupStandin.h
+++ b/Tests/Platform/Standin/GroupStandin.h
@@ -107,6 +107,8 @@
     std::string Control(std::string_view aWord, std::string_view aRest);
     std::string End(Connection& aConnection, bool aCommit, const std::string&);
     std::string PositionText() const;
+    /// The number of connections that have not ended.
+    std::size_t CountOpen() const;
     /// Whether the log has a position that a statement names.
     bool HasPosition(std::string_view aPosition) const;
 
