Session, Backend: Bound what a session and a connection keep

Cause: a session kept any number of values and prepared names, and connections to servers copied them; a rollback without an answer held its connection for ever; each refused statement wrote a line.

A connection to a server that keeps over 64 kB is reset when it is free; one whose rollback or reset has no answer for 3 s is closed.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -55,6 +55,8 @@
   /// What the server holds for the connection.
   std::map<std::string, std::string> mValues;
   std::set<PreparedStatement> mPrepared;
+  /// What the values and prepared statements take, in bytes.
+  std::size_t mCopiedBytes = 0;
 };
 
 /// A backend server as this host knows it, and the connections to it.
--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -135,6 +135,15 @@
   }
 }
 
+/// Whether the server owes an answer to something that no session waits for,
+/// such as a rollback, for too long.
+bool
+IsCleanupOverdue(const Link& aLink, Instant aNow)
+{
+  return aLink.mReady && !aLink.mSession && !aLink.mExchanges.empty() &&
+         aNow - aLink.mExchanges.front().mSentAt >= kCleanupTimeout;
+}
+
 bool
 CountsAsRunning(ExchangeKind aKind)
 {
@@ -303,6 +312,9 @@
     DropLink(aContext, aLink.mId);
     return;
   }
+  if (KeepsTooMuch(aLink)) {
+    ResetLink(aContext, aLink);
+  }
   aContext.mState.mTimers.ArmSooner(TimerKind::Pool,
                                     backend->mId.mValue,
                                     aContext.mNow +
@@ -373,7 +385,14 @@
       aBackend.mOpenAfter = aContext.mNow + kOpenRetryDelay;
       aBackend.mLastTimeoutAt = aContext.mNow;
     }
-    if (hasTimedOut || isIdle) {
+    const bool isOverdue = IsCleanupOverdue(*link, aContext.mNow);
+    if (isOverdue) {
+      Log(aContext,
+          LogSeverity::Warning,
+          "backend server did not clean a connection up in time; closing it",
+          { { "server", aBackend.mEntry.mName } });
+    }
+    if (hasTimedOut || isIdle || isOverdue) {
       DropLink(aContext, id);
     }
   }
--- a/Source/Backend/Preparation.cpp
+++ b/Source/Backend/Preparation.cpp
@@ -6,12 +6,16 @@
 
 #include "Backend/Pool.h"
 #include "Common/Hash.h"
+#include "Session/SessionMemory.h"
 
 namespace camphorstep::gateway {
 
 namespace {
 
 constexpr int kResetCost = 100;
+/// What a connection may keep of values and prepared statements once it serves
+/// no session.
+constexpr std::size_t kMaxIdleCopies = 64 * 1024;
 
 /// Whether a connection holds a value that the session does not.
 bool
@@ -50,17 +54,16 @@
             const Statement& aStatement)
 {
   if (HasForeignValue(aLink, aSession)) {
-    aLink.mValues.clear();
-    aLink.mPrepared.clear();
-    BackendRequest request;
-    request.mVerb = BackendVerb::Reset;
-    SendRequest(aContext, aLink, request, ExchangeKind::Preparation);
+    ResetLink(aContext, aLink);
   }
   for (const auto& [name, value] : aSession.mValues) {
     if (HasValue(aLink, name, value)) {
       continue;
     }
-    aLink.mValues[name] = value;
+    const auto [copy, isNew] = aLink.mValues.try_emplace(name);
+    aLink.mCopiedBytes +=
+      isNew ? MemoryOfCopy(name, value) : value.size() - copy->second.size();
+    copy->second = value;
     BackendRequest request;
     request.mVerb = BackendVerb::SetValue;
     request.mName = name;
@@ -75,6 +78,7 @@
       !aLink.mPrepared.insert(it->second).second) {
     return;
   }
+  aLink.mCopiedBytes += MemoryOfCopy({}, it->second.mShape);
   BackendRequest request;
   request.mVerb = BackendVerb::Prepare;
   request.mName = ServerSideName(it->second);
@@ -83,6 +87,23 @@
   SendRequest(aContext, aLink, request, ExchangeKind::Preparation);
 }
 
+void
+ResetLink(Context& aContext, Link& aLink)
+{
+  aLink.mValues.clear();
+  aLink.mPrepared.clear();
+  aLink.mCopiedBytes = 0;
+  BackendRequest request;
+  request.mVerb = BackendVerb::Reset;
+  SendRequest(aContext, aLink, request, ExchangeKind::Preparation);
+}
+
+bool
+KeepsTooMuch(const Link& aLink)
+{
+  return aLink.mCopiedBytes > kMaxIdleCopies;
+}
+
 std::string
 ServerSideName(const PreparedStatement& aPrepared)
 {
--- a/Source/Backend/Preparation.h
+++ b/Source/Backend/Preparation.h
@@ -17,6 +17,14 @@
                  const Session& aSession,
                  const Statement& aStatement);
 
+/// Has a server forget the session values and prepared statements of a
+/// connection.
+void ResetLink(Context& aContext, Link& aLink);
+
+/// Whether a connection keeps more values and prepared statements than one that
+/// serves no session may.
+bool KeepsTooMuch(const Link& aLink);
+
 /// The name of a prepared statement on servers, the same for all callers that
 /// prepare the same.
 std::string ServerSideName(const PreparedStatement& aPrepared);
--- a/Source/Gateway/Context.cpp
+++ b/Source/Gateway/Context.cpp
@@ -20,6 +20,22 @@
        WriteLogRecord{ aSeverity, std::string(aEvent), std::move(aValues) });
 }
 
+void
+LogRefusal(Context& aContext,
+           std::string_view aEvent,
+           std::vector<LogValue> aValues)
+{
+  LogLimit& limit = aContext.mState.mRefusalLog;
+  if (!MayLog(limit, aContext.mNow)) {
+    return;
+  }
+  if (limit.mLeftOut > 0) {
+    aValues.push_back(
+      { "left_out", std::to_string(std::exchange(limit.mLeftOut, 0)) });
+  }
+  Log(aContext, LogSeverity::Info, aEvent, std::move(aValues));
+}
+
 std::string
 Milliseconds(Duration aDuration)
 {
--- a/Source/Gateway/Context.h
+++ b/Source/Gateway/Context.h
@@ -26,6 +26,12 @@
          std::string_view aEvent,
          std::vector<LogValue> aValues = {});
 
+/// Emits a log record on something that a caller was refused, but only so many
+/// in a second. The next one tells how many were left out.
+void LogRefusal(Context& aContext,
+                std::string_view aEvent,
+                std::vector<LogValue> aValues);
+
 /// Returns an identifier that has not been used in this process.
 template<typename Id>
 Id
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -47,6 +47,13 @@
   SessionId mSession;
 };
 
+/// What a session takes of the process's memory.
+struct ReportSessionMemory
+{
+  SessionId mSession;
+  std::size_t mBytes = 0;
+};
+
 struct OpenLink
 {
   LinkId mLink;
@@ -155,6 +162,7 @@
                             AnswerCaller,
                             RefuseSession,
                             CloseSession,
+                            ReportSessionMemory,
                             OpenLink,
                             CloseLink,
                             SendOnLink,
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -103,6 +103,9 @@
   std::unordered_map<std::string, std::string> mRegions;
   /// How long a planned stop may take before the process is killed.
   Duration mStopGrace{ 0 };
+  /// The most that the values and prepared statements of a session may take, in
+  /// bytes; 0 sets no limit.
+  std::size_t mMaxSessionBytes = 0;
 };
 
 /// The process has been asked to stop.
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -11,6 +11,7 @@
 #include "Fleet/FleetState.h"
 #include "Gateway/Counters.h"
 #include "Gateway/Ids.h"
+#include "Gateway/LogLimit.h"
 #include "Gateway/Timers.h"
 #include "Group/GroupState.h"
 #include "Session/SessionState.h"
@@ -25,6 +26,9 @@
   std::unordered_map<std::string, std::string> mRegions;
   /// How long a planned stop may take before the process is killed.
   Duration mStopGrace{ 6'000'000 };
+  /// The most that the values and prepared statements of a session may take, in
+  /// bytes; 0 sets no limit.
+  std::size_t mMaxSessionBytes = 0;
 };
 
 /// The progress of a planned stop.
@@ -58,6 +62,8 @@
   PromoterState mPromoter;
   FleetState mFleet;
   Counters mCounters;
+  /// Lines on what callers were refused.
+  LogLimit mRefusalLog;
 };
 
 }
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -78,6 +78,7 @@
   {
     mContext.mState.mSelf.mRegions = aEvent.mRegions;
     mContext.mState.mSelf.mStopGrace = aEvent.mStopGrace;
+    mContext.mState.mSelf.mMaxSessionBytes = aEvent.mMaxSessionBytes;
   }
   void operator()(const StopRequested&) const { BeginStop(mContext); }
   void operator()(const TimePassed&) const {}
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -56,6 +56,9 @@
 constexpr Duration kOpenRetryDelay = 100ms;
 /// A connection that takes this long to open is closed.
 constexpr Duration kOpenTimeout = 1'000ms;
+/// A connection whose server leaves a rollback or a reset unanswered for this
+/// long is closed.
+constexpr Duration kCleanupTimeout = 3s;
 /// A connection for status requests that is not needed is closed after this
 /// time.
 constexpr Duration kIdleControlTimeout = 100ms;
--- a/Source/Session/Answers.cpp
+++ b/Source/Session/Answers.cpp
@@ -120,14 +120,13 @@
             ResultCode aCode,
             const std::string& aText)
 {
-  Log(aContext,
-      LogSeverity::Info,
-      "statement refused",
-      { { "request", aRequest },
-        { "session", std::to_string(aSession.mId.mValue) },
-        { "database", aSession.mDatabase },
-        { "code", std::string(NameOf(aCode)) },
-        { "reason", aText } });
+  LogRefusal(aContext,
+             "statement refused",
+             { { "request", aRequest },
+               { "session", std::to_string(aSession.mId.mValue) },
+               { "database", aSession.mDatabase },
+               { "code", std::string(NameOf(aCode)) },
+               { "reason", aText } });
   AnswerCaller answer;
   answer.mSession = aSession.mId;
   answer.mCode = aCode;
--- a/Source/Session/SessionState.h
+++ b/Source/Session/SessionState.h
@@ -106,6 +106,11 @@
   AccountId mAccount;
   std::map<std::string, std::string> mValues;
   std::map<std::string, PreparedStatement> mPrepared;
+  /// What the values and the prepared statements take, in bytes.
+  std::size_t mValueBytes = 0;
+  std::size_t mPreparedBytes = 0;
+  /// What the shell was last told that the whole session takes.
+  std::size_t mReportedBytes = 0;
   Transaction mTransaction;
   /// The last commit of the session, and the group in which it was made.
   SessionCommit mLastCommit;
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -9,6 +9,7 @@
 #include "Session/Answers.h"
 #include "Session/Execution.h"
 #include "Session/Routing.h"
+#include "Session/SessionMemory.h"
 #include "Session/Transactions.h"
 
 namespace camphorstep::gateway {
@@ -19,6 +20,25 @@
 /// one. Normal use of the protocol needs only a few.
 constexpr std::size_t kMaxPipeline = 64;
 
+/// Answers a statement whose value or name the session keeps, or could not keep
+/// within its limit.
+void
+AnswerKept(Context& aContext,
+           Session& aSession,
+           const Statement& aStatement,
+           bool aIsKept)
+{
+  if (aIsKept) {
+    AnswerOk(aContext, aSession);
+    return;
+  }
+  AnswerError(aContext,
+              aSession,
+              aStatement.mId,
+              ResultCode::RequestTooLarge,
+              "the session keeps too many values and prepared statements");
+}
+
 /// Answers a statement that concerns only the session's state. Returns false
 /// for a statement that a server has to run.
 bool
@@ -35,16 +55,19 @@
       AnswerOk(aContext, aSession);
       return true;
     case StatementKind::SetValue:
-      aSession.mValues[aStatement.mName] = aStatement.mArgument;
-      AnswerOk(aContext, aSession);
+      AnswerKept(aContext,
+                 aSession,
+                 aStatement,
+                 KeepValue(aContext, aSession, aStatement));
       return true;
     case StatementKind::Prepare:
-      aSession.mPrepared[aStatement.mName] = { aStatement.mWrites,
-                                               aStatement.mArgument };
-      AnswerOk(aContext, aSession);
+      AnswerKept(aContext,
+                 aSession,
+                 aStatement,
+                 KeepPrepared(aContext, aSession, aStatement));
       return true;
     case StatementKind::Deallocate:
-      aSession.mPrepared.erase(aStatement.mName);
+      ForgetPrepared(aSession, aStatement.mName);
       AnswerOk(aContext, aSession);
       return true;
     case StatementKind::Malformed:
@@ -187,11 +210,11 @@
     return;
   }
   if (!catalogue.mRoutes.contains(aEvent.mDatabase)) {
-    Log(aContext,
-        LogSeverity::Info,
-        "session refused: no route has that name",
-        { { "database", aEvent.mDatabase },
-          { "configuration", std::to_string(catalogue.mRoutingVersion) } });
+    LogRefusal(
+      aContext,
+      "session refused: no route has that name",
+      { { "database", aEvent.mDatabase },
+        { "configuration", std::to_string(catalogue.mRoutingVersion) } });
     Emit(aContext,
          RefuseSession{ aEvent.mSession,
                         ResultCode::UnknownDatabase,
@@ -238,7 +261,11 @@
     StartStatement(aContext, *session, statement);
     session = Find(aContext.mState.mSessions, aSession);
   }
-  if (session == nullptr || session->mActive) {
+  if (session == nullptr) {
+    return;
+  }
+  ReportMemory(aContext, *session);
+  if (session->mActive) {
     return;
   }
   session->mIdleSince = aContext.mNow;
