Shell: Keep callers within the memory and descriptors of the process

Cause: 300 connections with a megabyte each took the process past any machine's memory, silent connections its descriptors, and nothing was given back.

Change: [host] memory_mb and descriptors are divided (DivideProcess). Callers' connections draw from a budget; when it runs short new sessions get BUSY, then the largest holder is closed. Callers that do not open, finish a message or read in time are closed, silent connections give way to new ones, and who asks on without reading is closed. Freed memory goes back to the system. One log line a second with counts, camphorstep_callers_refused_total and camphorstep_caller_memory_bytes.

--- a/Source/Settings/GatewaySettings.cpp
+++ b/Source/Settings/GatewaySettings.cpp
@@ -13,7 +13,11 @@
 constexpr std::int64_t kMaxGraceMs = 600'000;
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1'000.0;
-constexpr std::int64_t kMaxMemoryMb = 1'000'000;
+constexpr std::int64_t kMinSessionKb = 64;
+constexpr std::int64_t kMaxSessionKb = 1'000'000;
+constexpr std::int64_t kMinCallerMs = 1'000;
+constexpr std::int64_t kMaxCallerMs = 3'600'000;
+constexpr double kMaxMemoryMb = 1'000'000;
 constexpr std::int64_t kMaxDescriptors = 10'000'000;
 
 void
@@ -29,10 +33,21 @@
                 aSettings.mProcessorShare,
                 kMinProcessorShare,
                 kMaxProcessorShare);
+    reader.Read("memory_mb", aSettings.mMemoryMb, 0.0, kMaxMemoryMb);
+    reader.Read("descriptors",
+                aSettings.mDescriptors,
+                std::int64_t{ 0 },
+                kMaxDescriptors);
+  } else if (aSection.mName == "callers") {
     reader.Read(
-      "memory_mb", aSettings.mMemoryMb, std::int64_t{ 0 }, kMaxMemoryMb);
-    reader.Read(
-      "descriptors", aSettings.mDescriptors, std::int64_t{ 0 }, kMaxDescriptors);
+      "session_kb", aSettings.mSessionKb, kMinSessionKb, kMaxSessionKb);
+    CallerTimeouts& timeouts = aSettings.mCallerTimeouts;
+    reader.ReadMilliseconds(
+      "opening_ms", timeouts.mOpening, kMinCallerMs, kMaxCallerMs);
+    reader.ReadMilliseconds(
+      "message_ms", timeouts.mMessage, kMinCallerMs, kMaxCallerMs);
+    reader.ReadMilliseconds(
+      "answer_ms", timeouts.mAnswer, kMinCallerMs, kMaxCallerMs);
   } else if (aSection.mName == "listen") {
     aSettings.mCallerAddress = RequireAddress(reader, "callers");
     aSettings.mReadinessAddress = RequireAddress(reader, "readiness");
@@ -57,6 +72,12 @@
 
 }
 
+ProcessLimits
+LimitsOf(const GatewaySettings& aSettings)
+{
+  return DivideProcess(aSettings.mMemoryMb, aSettings.mDescriptors);
+}
+
 GatewaySettings
 ParseGatewaySettings(const IniFile& aFile)
 {
--- a/Source/Settings/GatewaySettings.h
+++ b/Source/Settings/GatewaySettings.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <unordered_map>
 
+#include "Budget/CallerWait.h"
+#include "Budget/ProcessLimits.h"
 #include "Common/IniFile.h"
 #include "Common/Time.h"
 #include "Model/Topology.h"
@@ -19,10 +21,16 @@
   /// The processor time that the host may use, in cores.
   double mProcessorShare = 1.0;
   /// The memory that the process may use, in megabytes; 0 sets no limit.
-  std::int64_t mMemoryMb = 0;
+  double mMemoryMb = 0;
   /// The descriptors that the process may open; 0 sets no limit.
   std::int64_t mDescriptors = 0;
 
+  // [callers]
+  /// The most that the values and prepared statements of a session may take, in
+  /// kilobytes.
+  std::int64_t mSessionKb = 2'048;
+  CallerTimeouts mCallerTimeouts;
+
   // [listen]
   Address mCallerAddress;
   Address mReadinessAddress;
@@ -41,6 +49,9 @@
   std::unordered_map<std::string, std::string> mRegions;
 };
 
+/// What the settings leave to each kind of connection.
+ProcessLimits LimitsOf(const GatewaySettings& aSettings);
+
 /// Reads settings. Throws std::runtime_error naming file and line for
 /// malformed lines, unknown sections and keys, values out of range and
 /// missing keys.
--- a/Source/Shell/FramedConnection.cpp
+++ b/Source/Shell/FramedConnection.cpp
@@ -5,18 +5,12 @@
 
 namespace camphorstep {
 
-namespace {
-
-constexpr std::size_t kReadSize = 64 * 1024;
-
-}
-
-FramedConnection::FramedConnection(Handlers aHandlers)
+FramedConnection::FramedConnection(Handlers aHandlers, std::size_t aReadSize)
   : mHandlers(std::move(aHandlers))
   , mSocket({ [this] { mHandlers.mOnConnected(); },
               [this](std::string_view aBytes) { HandleData(aBytes); },
               [this](bool) { mHandlers.mOnClosed(); } },
-            kReadSize)
+            aReadSize)
 {
 }
 
@@ -47,6 +41,13 @@
   mSocket.Close();
 }
 
+void
+FramedConnection::Abort()
+{
+  mSocket.Abort();
+  mInput = FrameBuffer();
+}
+
 void
 FramedConnection::HandleData(std::string_view aBytes)
 {
--- a/Source/Shell/FramedConnection.h
+++ b/Source/Shell/FramedConnection.h
@@ -25,7 +25,12 @@
     std::function<void()> mOnClosed;
   };
 
-  explicit FramedConnection(Handlers aHandlers);
+  static constexpr std::size_t kLargeReads = 64 * 1024;
+  static constexpr std::size_t kSmallReads = 4 * 1024;
+
+  /// Reads at most some bytes at a time.
+  explicit FramedConnection(Handlers aHandlers,
+                            std::size_t aReadSize = kLargeReads);
 
   FramedConnection(const FramedConnection&) = delete;
   FramedConnection& operator=(const FramedConnection&) = delete;
@@ -45,6 +50,17 @@
 
   bool IsClosed() const { return mSocket.IsClosed(); }
 
+  /// Ends the connection and drops what the other side does not have yet.
+  void Abort();
+
+  /// Limits the bytes that the system receives ahead of the process.
+  void LimitReceiveBuffer(int aBytes) { mSocket.LimitReceiveBuffer(aBytes); }
+
+  /// What frames that are not complete take of the memory.
+  std::size_t HeldBytes() const { return mInput.Capacity(); }
+
+  std::size_t UnsentBytes() const { return mSocket.UnsentBytes(); }
+
   /// The number of bytes of an incomplete frame that have arrived.
   std::size_t PendingBytes() const { return mInput.Pending(); }
 
--- a/Source/Shell/GatewayMetrics.cpp
+++ b/Source/Shell/GatewayMetrics.cpp
@@ -87,6 +87,20 @@
   };
 }
 
+prometheus::MetricFamily
+MakeRefusals(const CallerCounters& aCallers)
+{
+  return MakeCounter(
+    "camphorstep_callers_refused_total",
+    "Callers' connections that were refused or closed, by reason.",
+    { { { { "reason", "no memory" } }, aCallers.mRefusedForMemory },
+      { { { "reason", "no descriptors" } }, aCallers.mRefusedForDescriptors },
+      { { { "reason", "held the most" } }, aCallers.mClosedForMemory },
+      { { { "reason", "not opened" } }, aCallers.mOverdueOpenings },
+      { { { "reason", "message not finished" } }, aCallers.mOverdueMessages },
+      { { { "reason", "answer not read" } }, aCallers.mUnreadAnswers } });
+}
+
 std::vector<prometheus::MetricFamily>
 Gauges(const gateway::State& aState)
 {
@@ -109,7 +123,7 @@
 }
 
 std::string
-MetricsText(const gateway::State& aState)
+MetricsText(const gateway::State& aState, const CallerCounters& aCallers)
 {
   const gateway::Counters& counters = aState.mCounters;
   std::vector<prometheus::MetricFamily> families = PlainCounters(counters);
@@ -122,6 +136,10 @@
                 "Reads by the role of the server that served them.",
                 { { { { "role", "replica" } }, counters.mReplicaReads },
                   { { { "role", "primary" } }, counters.mPrimaryReads } }));
+  families.push_back(MakeRefusals(aCallers));
+  families.push_back(MakeGauge("camphorstep_caller_memory_bytes",
+                               "What callers' connections and sessions hold.",
+                               { { {}, aCallers.mHeldBytes } }));
   for (prometheus::MetricFamily& family : Gauges(aState)) {
     families.push_back(std::move(family));
   }
--- a/Source/Shell/GatewayPeers.cpp
+++ b/Source/Shell/GatewayPeers.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Common/Log.h"
+#include "Shell/Clock.h"
 #include "Wire/Codec.h"
 
 namespace camphorstep {
@@ -11,7 +12,15 @@
 namespace {
 
 constexpr int kBacklog = 128;
-constexpr std::size_t kMaxIncoming = 4'096;
+/// What a connection takes before it holds anything.
+constexpr std::size_t kConnectionBytes = 8 * 1024;
+/// The bytes that the system receives ahead on an incoming connection, where
+/// the memory is limited; it may take twice as many.
+constexpr int kReceiveBuffer = 16 * 1024;
+/// A host that asks on while it has this much to read is given up. Hosts wait
+/// for each report.
+constexpr std::size_t kMaxUnreadBytes = 256 * 1024;
+constexpr Duration kLogInterval{ 1'000'000 };
 /// How long closed connections may wait to be freed.
 constexpr double kCollectMilliseconds = 50.0;
 
@@ -19,11 +28,14 @@
 
 GatewayPeers::GatewayPeers(cxxtools::SelectorBase& aLoop,
                            GatewaySink& aSink,
-                           const Address& aAddress)
+                           const Address& aAddress,
+                           const ProcessLimits& aLimits)
   : mLoop(aLoop)
   , mSink(aSink)
   , mListener(aAddress.mIp, aAddress.mPort, kBacklog)
+  , mMaxIncoming(aLimits.mPeers)
 {
+  mBudget.mLimit = aLimits.mPeerBytes;
   cxxtools::connect(
     mListener.connectionPending, *this, &GatewayPeers::OnPending);
   mListener.setSelector(mLoop);
@@ -64,8 +76,10 @@
   handlers.mOnFrame = [this, id](const std::string& aPayload) {
     HandleQuery(id, aPayload);
   };
+  handlers.mOnPartialFrame = [this, id] { NoteIncoming(id); };
   handlers.mOnClosed = [this, id] { RemoveIncoming(id); };
-  auto connection = std::make_unique<FramedConnection>(std::move(handlers));
+  auto connection = std::make_unique<FramedConnection>(
+    std::move(handlers), FramedConnection::kSmallReads);
   try {
     connection->Accept(mLoop, aListener);
   } catch (const std::exception& ex) {
@@ -74,11 +88,16 @@
              { { "error", ex.what() } });
     return;
   }
-  if (mIncoming.size() >= kMaxIncoming) {
+  if (mIncoming.size() >= mMaxIncoming && !CloseOldestSilent()) {
     connection->Close();
     return;
   }
+  if (mBudget.mLimit > 0) {
+    connection->LimitReceiveBuffer(kReceiveBuffer);
+  }
   mIncoming.emplace(id, std::move(connection));
+  mSilent.insert(id);
+  NoteIncoming(id);
 }
 
 void
@@ -94,6 +113,11 @@
   try {
     const auto message = Decode<gateway::PeerMessage>(aPayload);
     if (const auto* const query = std::get_if<gateway::PeerQuery>(&message)) {
+      mSilent.erase(aLink);
+      NoteIncoming(aLink);
+      if (DropUnread(aLink)) {
+        return;
+      }
       mSink.Deliver(gateway::PeerQueryReceived{ aLink, *query });
     }
   } catch (const DecodeError& ex) {
@@ -128,6 +152,58 @@
     Retire(std::move(it->second));
     mIncoming.erase(it);
   }
+  mSilent.erase(aLink);
+  SetHeld(mBudget, aLink.mValue, 0);
+}
+
+bool
+GatewayPeers::CloseOldestSilent()
+{
+  if (mSilent.empty()) {
+    return false;
+  }
+  const gateway::PeerLinkId oldest = *mSilent.begin();
+  mIncoming.at(oldest)->Abort();
+  RemoveIncoming(oldest);
+  return true;
+}
+
+void
+GatewayPeers::NoteIncoming(gateway::PeerLinkId aLink)
+{
+  const auto it = mIncoming.find(aLink);
+  if (it == mIncoming.end()) {
+    return;
+  }
+  SetHeld(mBudget, aLink.mValue, kConnectionBytes + it->second->HeldBytes());
+  while (IsOverdrawn(mBudget)) {
+    const gateway::PeerLinkId largest{ *LargestHolder(mBudget) };
+    ++mClosedForMemory;
+    mIncoming.at(largest)->Abort();
+    RemoveIncoming(largest);
+  }
+  const Instant now = MonotonicNow();
+  if (mClosedForMemory > 0 && now >= mLogAfter) {
+    WriteLog(LogLevel::Warning,
+             "closed connections of hosts that held too much",
+             { { "connections", std::exchange(mClosedForMemory, 0) } });
+    mLogAfter = now + kLogInterval;
+  }
+}
+
+bool
+GatewayPeers::DropUnread(gateway::PeerLinkId aLink)
+{
+  const auto it = mIncoming.find(aLink);
+  if (it == mIncoming.end()) {
+    return true;
+  }
+  if (it->second->UnsentBytes() <= kMaxUnreadBytes) {
+    return false;
+  }
+  it->second->Abort();
+  RemoveIncoming(aLink);
+  return true;
 }
 
 void
--- a/Source/Shell/GatewayPeers.h
+++ b/Source/Shell/GatewayPeers.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -9,6 +10,8 @@
 #include <cxxtools/net/tcpserver.h>
 #include <cxxtools/timer.h>
 
+#include "Budget/MemoryBudget.h"
+#include "Budget/ProcessLimits.h"
 #include "Gateway/Effect.h"
 #include "Shell/FramedConnection.h"
 #include "Shell/GatewaySink.h"
@@ -22,7 +25,8 @@
 public:
   GatewayPeers(cxxtools::SelectorBase& aLoop,
                GatewaySink& aSink,
-               const Address& aAddress);
+               const Address& aAddress,
+               const ProcessLimits& aLimits = {});
 
   void Carry(const gateway::SendPeerQuery& aEffect);
   void Carry(const gateway::SendPeerReport& aEffect);
@@ -33,6 +37,15 @@
   void HandleQuery(gateway::PeerLinkId aLink, const std::string& aPayload);
   void HandleReport(const std::string& aPayload);
   void RemoveIncoming(gateway::PeerLinkId aLink);
+  /// Closes the oldest connection that has asked nothing yet. Returns false if
+  /// there is none.
+  bool CloseOldestSilent();
+  /// Closes a connection that asks on without reading. Returns whether it is
+  /// gone.
+  bool DropUnread(gateway::PeerLinkId aLink);
+  /// Notes what a connection holds, and closes those that hold the most if the
+  /// connections hold too much together.
+  void NoteIncoming(gateway::PeerLinkId aLink);
   void OpenOutgoing(const Address& aAddress);
   void CloseOutgoing();
   /// Closes the outgoing connection and tells the core.
@@ -46,6 +59,13 @@
   std::uint64_t mLastIncoming = 0;
   std::unordered_map<gateway::PeerLinkId, std::unique_ptr<FramedConnection>>
     mIncoming;
+  /// Incoming connections that have asked nothing yet, the oldest first.
+  std::set<gateway::PeerLinkId> mSilent;
+  std::size_t mMaxIncoming;
+  MemoryBudget mBudget;
+  /// Connections that were closed since the last line about them.
+  std::uint64_t mClosedForMemory = 0;
+  Instant mLogAfter;
   std::unique_ptr<FramedConnection> mOutgoing;
   Address mOutgoingAddress;
   std::vector<std::unique_ptr<FramedConnection>> mRetired;
--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include <malloc.h>
+
 #include "Common/IniFile.h"
 #include "Common/Log.h"
 #include "Common/TextFile.h"
@@ -29,6 +31,12 @@
 constexpr double kSettingsCheckMilliseconds = 2'000.0;
 
 constexpr double kThousandths = 1'000.0;
+constexpr std::size_t kBytesPerKb = 1024;
+
+/// Buffers of this size are taken from the system one by one.
+constexpr int kLargeBuffer = 128 * 1024;
+/// The free memory that the process keeps.
+constexpr int kKeptHeap = 4 * 1024 * 1024;
 
 /// Wakes the event loop because a stop is asked for.
 class StopEvent : public cxxtools::BasicEvent<StopEvent>
@@ -48,6 +56,23 @@
          aFirst.mHostName == aSecond.mHostName;
 }
 
+std::size_t
+MaxSessionBytes(const GatewaySettings& aSettings)
+{
+  return static_cast<std::size_t>(aSettings.mSessionKb) * kBytesPerKb;
+}
+
+/// Has large buffers be given back to the system as soon as they are freed.
+/// Otherwise a crowd of callers leaves a heap behind that stays large.
+void
+ReturnLargeBuffers(const GatewaySettings& aSettings)
+{
+  if (aSettings.mMemoryMb > 0) {
+    ::mallopt(M_MMAP_THRESHOLD, kLargeBuffer);
+    ::mallopt(M_TRIM_THRESHOLD, kKeptHeap);
+  }
+}
+
 gateway::State
 MakeState(const GatewaySettings& aSettings)
 {
@@ -61,6 +86,7 @@
                                                     kThousandths) };
   state.mSelf.mRegions = aSettings.mRegions;
   state.mSelf.mStopGrace = aSettings.mStopGrace;
+  state.mSelf.mMaxSessionBytes = MaxSessionBytes(aSettings);
   return state;
 }
 
@@ -75,13 +101,17 @@
   , mReadiness(
       mLoop,
       mSettings.mReadinessAddress,
-      [this](const std::string& aPath) { return AnswerReadiness(aPath); })
-  , mMetrics(mLoop,
-             mSettings.mMetricsAddress,
-             [this](const std::string& aPath) { return AnswerMetrics(aPath); })
-  , mPeers(mLoop, *this, mSettings.mPeerAddress)
+      [this](const std::string& aPath) { return AnswerReadiness(aPath); },
+      LimitsOf(mSettings).mMonitors)
+  , mMetrics(
+      mLoop,
+      mSettings.mMetricsAddress,
+      [this](const std::string& aPath) { return AnswerMetrics(aPath); },
+      LimitsOf(mSettings).mMonitors)
+  , mPeers(mLoop, *this, mSettings.mPeerAddress, LimitsOf(mSettings))
   , mAdapter(aFactory(mSettings, mLoop, *this))
 {
+  ReturnLargeBuffers(mSettings);
   cxxtools::connect(mLoop.event, *this, &GatewayRuntime::OnWake);
   cxxtools::connect(mTimer.timeout, *this, &GatewayRuntime::OnTimer);
   cxxtools::connect(
@@ -210,8 +240,8 @@
     mSettings = settings;
     mAdapter->ChangeSettings(mSettings);
     WriteLog(LogLevel::Info, "settings reloaded");
-    Deliver(
-      gateway::SettingsChanged{ mSettings.mRegions, mSettings.mStopGrace });
+    Deliver(gateway::SettingsChanged{
+      mSettings.mRegions, mSettings.mStopGrace, MaxSessionBytes(mSettings) });
   } catch (const std::exception& ex) {
     WriteLog(LogLevel::Error,
              "settings were not reloaded; the former ones stay in force",
@@ -240,7 +270,9 @@
   if (aPath != "/metrics") {
     return { kHttpNotFound, "text/plain", "not found\n" };
   }
-  return { kHttpOk, "text/plain; version=0.0.4", MetricsText(mState) };
+  return { kHttpOk,
+           "text/plain; version=0.0.4",
+           MetricsText(mState, mAdapter->Counters()) };
 }
 
 }
--- a/Source/Shell/GatewayRuntime.h
+++ b/Source/Shell/GatewayRuntime.h
@@ -10,6 +10,7 @@
 #include <cxxtools/eventloop.h>
 #include <cxxtools/timer.h>
 
+#include "Budget/CallerCounters.h"
 #include "Gateway/Effect.h"
 #include "Gateway/Event.h"
 #include "Gateway/State.h"
@@ -32,7 +33,10 @@
   /// Sends what has been written since the last call.
   virtual void Flush() = 0;
 
-  /// Takes new addresses of the platform into use.
+  /// The callers that were refused or closed.
+  virtual CallerCounters Counters() const = 0;
+
+  /// Takes new addresses of the platform, and new limits of callers, into use.
   virtual void ChangeSettings(const GatewaySettings& aSettings) = 0;
 };
 
--- a/Source/Shell/HttpResponder.cpp
+++ b/Source/Shell/HttpResponder.cpp
@@ -1,5 +1,6 @@
 #include "Shell/HttpResponder.h"
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -11,7 +12,10 @@
 
 constexpr std::size_t kReadSize = 2048;
 constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
-constexpr std::size_t kMaxClients = 64;
+/// A client that asks on while it has this much to read is given up.
+constexpr std::size_t kMaxUnreadBytes = 64 * 1024;
+/// The bytes that the system receives ahead on a connection.
+constexpr int kReceiveBuffer = 16 * 1024;
 constexpr int kBacklog = 64;
 constexpr unsigned kHttpOk = 200;
 constexpr std::string_view kHeaderEnd = "\r\n\r\n";
@@ -44,10 +48,12 @@
 
 HttpResponder::HttpResponder(cxxtools::SelectorBase& aLoop,
                              const Address& aAddress,
-                             Handler aHandler)
+                             Handler aHandler,
+                             std::size_t aMaxClients)
   : mLoop(aLoop)
   , mHandler(std::move(aHandler))
   , mListener(aAddress.mIp, aAddress.mPort, kBacklog)
+  , mMaxClients(aMaxClients)
 {
   cxxtools::connect(
     mListener.connectionPending, *this, &HttpResponder::OnPending);
@@ -68,18 +74,17 @@
   try {
     socket->Accept(mLoop, aListener);
     socket->LimitSilence(kSilenceLimit);
+    socket->LimitReceiveBuffer(kReceiveBuffer);
   } catch (const std::exception& ex) {
     WriteLog(LogLevel::Warning,
              "could not accept a monitoring connection",
              { { "error", ex.what() } });
     return;
   }
-  if (mClients.size() >= kMaxClients) {
-    socket->Close();
-    mClosed.push_back(std::move(socket));
-    return;
+  if (mClients.size() >= mMaxClients) {
+    RemoveLeastRecent();
   }
-  mClients.emplace(id, Client{ std::move(socket), {} });
+  mClients.emplace(id, Client{ std::move(socket), {}, ++mLastUse });
 }
 
 void
@@ -96,6 +101,11 @@
       Remove(aClient);
       return;
     }
+    if (client.mSocket->UnsentBytes() > kMaxUnreadBytes) {
+      Remove(aClient);
+      return;
+    }
+    client.mLastUse = ++mLastUse;
     client.mInput.erase(0, end + kHeaderEnd.size());
     client.mSocket->Append(Format(mHandler(path)));
   }
@@ -106,6 +116,18 @@
   client.mSocket->Flush();
 }
 
+void
+HttpResponder::RemoveLeastRecent()
+{
+  const auto it = std::min_element(
+    mClients.begin(), mClients.end(), [](const auto& aFirst, const auto& a) {
+      return aFirst.second.mLastUse < a.second.mLastUse;
+    });
+  if (it != mClients.end()) {
+    Remove(it->first);
+  }
+}
+
 void
 HttpResponder::Remove(std::uint64_t aClient)
 {
@@ -113,7 +135,7 @@
   if (it == mClients.end()) {
     return;
   }
-  it->second.mSocket->Close();
+  it->second.mSocket->Abort();
   mClosed.push_back(std::move(it->second.mSocket));
   mClients.erase(it);
 }
--- a/Source/Shell/HttpResponder.h
+++ b/Source/Shell/HttpResponder.h
@@ -28,11 +28,14 @@
 class HttpResponder : public cxxtools::Connectable
 {
 public:
+  static constexpr std::size_t kMaxClients = 64;
+
   using Handler = std::function<HttpPage(const std::string& aPath)>;
 
   HttpResponder(cxxtools::SelectorBase& aLoop,
                 const Address& aAddress,
-                Handler aHandler);
+                Handler aHandler,
+                std::size_t aMaxClients = kMaxClients);
 
 private:
   /// A monitoring system's connection.
@@ -40,16 +43,22 @@
   {
     std::unique_ptr<StreamSocket> mSocket;
     std::string mInput;
+    /// Increases with each connection and each request of any client.
+    std::uint64_t mLastUse = 0;
   };
 
   void OnPending(cxxtools::net::TcpServer& aListener);
   void HandleData(std::uint64_t aClient, std::string_view aBytes);
   void Remove(std::uint64_t aClient);
+  /// Closes the connection that has asked nothing for the longest time.
+  void RemoveLeastRecent();
 
   cxxtools::SelectorBase& mLoop;
   Handler mHandler;
   cxxtools::net::TcpServer mListener;
+  std::size_t mMaxClients;
   std::uint64_t mLastClient = 0;
+  std::uint64_t mLastUse = 0;
   std::unordered_map<std::uint64_t, Client> mClients;
   std::vector<std::unique_ptr<StreamSocket>> mClosed;
 };
--- a/Source/Shell/LogRecords.cpp
+++ b/Source/Shell/LogRecords.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Callers choose some values, such as ids, and may make them very long.
+constexpr std::size_t kMaxValueBytes = 512;
+
 LogLevel
 LevelOf(LogSeverity aSeverity)
 {
@@ -29,7 +32,8 @@
 {
   std::vector<LogField> fields;
   for (const LogValue& value : aRecord.mValues) {
-    fields.emplace_back(value.mName, value.mValue);
+    fields.emplace_back(
+      value.mName, std::string_view(value.mValue).substr(0, kMaxValueBytes));
   }
   WriteLog(LevelOf(aRecord.mSeverity), aRecord.mEvent, fields);
 }
--- a/Source/Shell/StreamSocket.cpp
+++ b/Source/Shell/StreamSocket.cpp
@@ -18,6 +18,18 @@
 /// A connection whose other side reads too slowly is given up.
 constexpr std::size_t kMaxWaitingBytes = 64 * 1024 * 1024;
 
+/// Buffers that are empty are kept for the next bytes up to this size.
+constexpr std::size_t kKeptCapacity = 8 * 1024;
+
+/// Gives back the memory of an empty buffer that has grown large.
+void
+Shrink(std::string& aBuffer)
+{
+  if (aBuffer.empty() && aBuffer.capacity() > kKeptCapacity) {
+    aBuffer = std::string();
+  }
+}
+
 void
 SetOption(int aSocket, int aLevel, int aOption, int aValue)
 {
@@ -77,7 +89,7 @@
   mSocket.setSelector(aLoop);
   mConnected = true;
   Prepare();
-  mSocket.beginRead(mReadBuffer.data(), mReadBuffer.size());
+  BeginRead();
 }
 
 void
@@ -98,6 +110,31 @@
   }
 }
 
+void
+StreamSocket::LimitReceiveBuffer(int aBytes)
+{
+  mReceiveBuffer = aBytes;
+  if (mConnected) {
+    Prepare();
+  }
+}
+
+void
+StreamSocket::ResumeReading()
+{
+  if (!mIsPaused) {
+    return;
+  }
+  mIsPaused = false;
+  try {
+    if (mConnected) {
+      BeginRead();
+    }
+  } catch (const std::exception&) {
+    Fail(false);
+  }
+}
+
 void
 StreamSocket::Append(std::string_view aBytes)
 {
@@ -149,6 +186,18 @@
   }
 }
 
+void
+StreamSocket::Abort()
+{
+  if (!mClosed) {
+    ResetOnClose();
+    Close();
+  }
+  mWaiting = std::string();
+  mWriting = std::string();
+  mWritten = 0;
+}
+
 void
 StreamSocket::OnConnected(cxxtools::net::TcpSocket& aSocket)
 {
@@ -159,7 +208,7 @@
     aSocket.endConnect();
     mConnected = true;
     Prepare();
-    mSocket.beginRead(mReadBuffer.data(), mReadBuffer.size());
+    BeginRead();
   } catch (const std::exception&) {
     // Silence ends in the owner's time limit, so this is a refusal.
     Fail(true);
@@ -183,7 +232,7 @@
     }
     mHandlers.mOnData(std::string_view(mReadBuffer.data(), n));
     if (!mClosed) {
-      mSocket.beginRead(mReadBuffer.data(), mReadBuffer.size());
+      BeginRead();
     }
   } catch (const cxxtools::SystemError& ex) {
     Fail(IsAnswer(ex.getErrno()));
@@ -203,6 +252,7 @@
     if (mWritten >= mWriting.size()) {
       mWriting.clear();
       mWritten = 0;
+      Shrink(mWriting);
     }
   } catch (const std::exception&) {
     Fail(false);
@@ -212,6 +262,9 @@
   if (mCloseWhenSent && mWriting.empty() && mWaiting.empty()) {
     Close();
   }
+  if (!mClosed && mHandlers.mOnSent) {
+    mHandlers.mOnSent();
+  }
 }
 
 void
@@ -228,12 +281,23 @@
     SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
     SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, 2);
   }
+  if (mReceiveBuffer > 0) {
+    SetOption(fd, SOL_SOCKET, SO_RCVBUF, mReceiveBuffer);
+  }
   if (mResetOnClose) {
     const linger none{ 1, 0 };
     ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
   }
 }
 
+void
+StreamSocket::BeginRead()
+{
+  if (!mIsPaused && !mSocket.reading()) {
+    mSocket.beginRead(mReadBuffer.data(), mReadBuffer.size());
+  }
+}
+
 /// Gives the socket what it takes at once, which saves a turn of the loop.
 void
 StreamSocket::SendDirectly()
@@ -247,6 +311,7 @@
                            MSG_DONTWAIT | MSG_NOSIGNAL);
   if (n >= 0) {
     mWaiting.erase(0, static_cast<std::size_t>(n));
+    Shrink(mWaiting);
   } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
     Fail(IsAnswer(errno));
   }
--- a/Source/Shell/StreamSocket.h
+++ b/Source/Shell/StreamSocket.h
@@ -30,6 +30,8 @@
     /// Tells whether the other side's machine answered: it refused, ended or
     /// reset the connection rather than staying silent.
     std::function<void(bool)> mOnClosed;
+    /// Called when the socket has taken bytes that had to wait; may be empty.
+    std::function<void()> mOnSent = {};
   };
 
   StreamSocket(Handlers aHandlers, std::size_t aReadSize);
@@ -52,6 +54,13 @@
   /// process. Bytes that the other side does not have yet are dropped then.
   void ResetOnClose();
 
+  /// Limits the bytes that the system receives ahead of the process.
+  void LimitReceiveBuffer(int aBytes);
+
+  /// Stops to read, so that the other side has to wait, or goes on.
+  void PauseReading() { mIsPaused = true; }
+  void ResumeReading();
+
   /// Adds bytes that the next Flush sends.
   void Append(std::string_view aBytes);
 
@@ -64,6 +73,21 @@
   /// Ends the connection; no handler is called any more.
   void Close();
 
+  /// Ends the connection and drops what the other side does not have yet.
+  void Abort();
+
+  /// The number of bytes that have not been sent.
+  std::size_t UnsentBytes() const
+  {
+    return mWaiting.size() + mWriting.size() - mWritten;
+  }
+
+  /// What the bytes to send take of the memory.
+  std::size_t HeldBytes() const
+  {
+    return mWaiting.capacity() + mWriting.capacity();
+  }
+
   bool IsClosed() const { return mClosed; }
   bool IsConnected() const { return mConnected; }
   /// Whether the other side has reset the connection.
@@ -74,6 +98,7 @@
   void OnInput(cxxtools::IODevice& aDevice);
   void OnOutput(cxxtools::IODevice& aDevice);
   void Prepare();
+  void BeginRead();
   void SendDirectly();
   void StartWriting();
   void Fail(bool aAnswered);
@@ -86,6 +111,9 @@
   std::size_t mWritten = 0;
   std::string mWaiting;
   std::chrono::milliseconds mSilenceLimit{ 0 };
+  /// The system's default if it is 0.
+  int mReceiveBuffer = 0;
+  bool mIsPaused = false;
   bool mConnected = false;
   bool mClosed = false;
   bool mCloseWhenSent = false;
--- a/Source/Wire/Frame.cpp
+++ b/Source/Wire/Frame.cpp
@@ -52,6 +52,11 @@
   }
   std::string payload = mBytes.substr(mOffset + kHeaderSize, size);
   mOffset += kHeaderSize + size;
+  // A large frame must not leave a large buffer behind.
+  if (mOffset == mBytes.size() && mBytes.capacity() > kCompactThreshold) {
+    mBytes = std::string();
+    mOffset = 0;
+  }
   return payload;
 }
 
--- a/Source/Wire/Frame.h
+++ b/Source/Wire/Frame.h
@@ -29,6 +29,9 @@
   /// The number of bytes of the next frame that have arrived.
   std::size_t Pending() const { return mBytes.size() - mOffset; }
 
+  /// What the bytes take of the memory.
+  std::size_t Capacity() const { return mBytes.capacity(); }
+
 private:
   std::string mBytes;
   std::size_t mOffset = 0;
