Relay: Decide which host runs a session where connections are scarce

Cause: where a group's servers accept fewer connections than there are hosts, hosts open and close connections all the time, and each opening costs a slot of the server. Change: in each data centre one host owns a group's connections, by rendezvous hashing weighted by processor share. The entry host passes whole sessions on to it, one statement at a time, and decides what becomes of a session and of the statement that was sent when the owner is lost, frozen or leaving. Off unless Identity::mIsRelaying is set and known hosts outnumber the connections; then the core makes the same effects as before.

--- a/Source/Gateway/Counters.h
+++ b/Source/Gateway/Counters.h
@@ -19,6 +19,13 @@
   LatencyHistogram mLatency;
 };
 
+/// Statements of sessions that were passed on whose owner was lost.
+struct RelayInterruptions
+{
+  std::uint64_t mNotRun = 0;
+  std::uint64_t mUnknown = 0;
+};
+
 /// Monotonic counters, exported as metrics.
 struct Counters
 {
@@ -44,6 +51,14 @@
   /// primary.
   std::uint64_t mCommitsUnproved = 0;
   std::uint64_t mStoreCalls = 0;
+  /// Sessions passed on to owners, and those that others have passed on here.
+  std::uint64_t mSessionsRelayed = 0;
+  std::uint64_t mSessionsTakenOver = 0;
+  std::uint64_t mStatementsRelayed = 0;
+  RelayInterruptions mRelayInterruptions;
+  /// Sessions that ran here because their owner did not open them.
+  std::uint64_t mRelayFallbacks = 0;
+  std::uint64_t mOwnersPassedOver = 0;
 };
 
 }
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -8,6 +8,7 @@
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
 #include "Gateway/PeerMessage.h"
+#include "Gateway/Statement.h"
 #include "Gateway/StoreRecord.h"
 #include "Messages/Effect.h"
 #include "Model/Topology.h"
@@ -143,6 +144,31 @@
   PeerReport mReport;
 };
 
+/// Opens a session at its owner, another host. Answered by RelayResponse.
+struct OpenRelay
+{
+  RelayId mRelay;
+  std::string mHost;
+  Address mAddress;
+  std::string mDatabase;
+  KeyDigest mKey;
+};
+
+/// Passes a statement on. Answered by RelayResponse or RelayStatementUnsent.
+struct SendOnRelay
+{
+  RelayId mRelay;
+  std::string mHost;
+  Statement mStatement;
+};
+
+/// Ends a session at its owner.
+struct EndRelay
+{
+  RelayId mRelay;
+  std::string mHost;
+};
+
 /// Sets whether this host reports to the load balancer that it is ready for new
 /// callers.
 struct SetReady
@@ -166,6 +192,9 @@
                             PromoteServer,
                             SendPeerQuery,
                             SendPeerReport,
+                            OpenRelay,
+                            SendOnRelay,
+                            EndRelay,
                             SetReady,
                             StopComplete,
                             WriteLogRecord>;
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -9,6 +9,7 @@
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
 #include "Gateway/PeerMessage.h"
+#include "Gateway/RelayMessage.h"
 #include "Gateway/Statement.h"
 #include "Gateway/StoreRecord.h"
 
@@ -96,6 +97,19 @@
 struct PeerConnectionLost
 {};
 
+/// A statement was not passed on because too many bytes wait to be sent to the
+/// owner.
+struct RelayStatementUnsent
+{
+  RelayId mRelay;
+};
+
+/// The connection to an owner ended or could not be opened.
+struct RelayConnectionLost
+{
+  std::string mHost;
+};
+
 /// The settings file was reloaded.
 struct SettingsChanged
 {
@@ -103,6 +117,8 @@
   std::unordered_map<std::string, std::string> mRegions;
   /// How long a planned stop may take before the process is killed.
   Duration mStopGrace{ 0 };
+  /// Whether sessions may be passed on to owners of connections.
+  bool mIsRelaying = false;
 };
 
 /// The process has been asked to stop.
@@ -126,6 +142,9 @@
                                PeerReport,
                                PeerReportArriving,
                                PeerConnectionLost,
+                               RelayResponse,
+                               RelayStatementUnsent,
+                               RelayConnectionLost,
                                SettingsChanged,
                                StopRequested,
                                TimePassed>;
--- a/Source/Gateway/Ids.h
+++ b/Source/Gateway/Ids.h
@@ -11,6 +11,10 @@
 /// A connection to a backend server, unique within the process.
 using LinkId = StrongId<struct LinkTag>;
 
+/// A session that one host passes on to another, unique within the host that
+/// does; a new one each time the session is opened elsewhere.
+using RelayId = StrongId<struct RelayTag>;
+
 /// One call to the platform, unique within the process.
 using CallId = StrongId<struct PlatformCallTag>;
 
--- a/Source/Gateway/PeerMessage.h
+++ b/Source/Gateway/PeerMessage.h
@@ -162,7 +162,25 @@
   }
 };
 
+/// The version of the messages with which hosts pass sessions on; see
+/// RelayMessage.h.
+constexpr std::uint32_t kRelayVersion = 1;
+
+/// The first message of a connection that passes sessions on; all others on it
+/// are a RelayRequest or a RelayResponse. A host that does not know it, or not
+/// its version, closes the connection.
+struct RelayGreeting
+{
+  std::uint32_t mVersion = kRelayVersion;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    ArchivePacked(aArchive, mVersion);
+  }
+};
+
 /// A message between two hosts.
-using PeerMessage = std::variant<PeerQuery, PeerReport>;
+using PeerMessage = std::variant<PeerQuery, PeerReport, RelayGreeting>;
 
 }
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -13,6 +13,7 @@
 #include "Gateway/Ids.h"
 #include "Gateway/Timers.h"
 #include "Group/GroupState.h"
+#include "Relay/RelayState.h"
 #include "Session/SessionState.h"
 
 namespace camphorstep::gateway {
@@ -25,6 +26,8 @@
   std::unordered_map<std::string, std::string> mRegions;
   /// How long a planned stop may take before the process is killed.
   Duration mStopGrace{ 6'000'000 };
+  /// Whether sessions may be passed on to owners of connections.
+  bool mIsRelaying = false;
 };
 
 /// The progress of a planned stop.
@@ -57,6 +60,7 @@
   Catalogue mCatalogue;
   PromoterState mPromoter;
   FleetState mFleet;
+  RelayState mRelays;
   Counters mCounters;
 };
 
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -12,6 +12,7 @@
 #include "Group/Promoter.h"
 #include "Group/Sampling.h"
 #include "Group/Takeover.h"
+#include "Relay/RelayedSessions.h"
 #include "Session/Execution.h"
 #include "Session/Outcomes.h"
 #include "Session/Sessions.h"
@@ -74,10 +75,23 @@
   {
     HandlePeerReported(mContext, aEvent);
   }
+  void operator()(const RelayResponse& aEvent) const
+  {
+    HandleRelayResponse(mContext, aEvent);
+  }
+  void operator()(const RelayStatementUnsent& aEvent) const
+  {
+    HandleRelayStatementUnsent(mContext, aEvent);
+  }
+  void operator()(const RelayConnectionLost& aEvent) const
+  {
+    HandleRelayConnectionLost(mContext, aEvent);
+  }
   void operator()(const SettingsChanged& aEvent) const
   {
     mContext.mState.mSelf.mRegions = aEvent.mRegions;
     mContext.mState.mSelf.mStopGrace = aEvent.mStopGrace;
+    mContext.mState.mSelf.mIsRelaying = aEvent.mIsRelaying;
   }
   void operator()(const StopRequested&) const { BeginStop(mContext); }
   void operator()(const TimePassed&) const {}
@@ -125,6 +139,9 @@
     case TimerKind::Stop:
       ContinueStop(aContext);
       break;
+    case TimerKind::Relay:
+      HandleRelayTimer(aContext, SessionId{ aId });
+      break;
   }
 }
 
--- a/Source/Gateway/Stopping.cpp
+++ b/Source/Gateway/Stopping.cpp
@@ -5,6 +5,7 @@
 #include "Gateway/Readiness.h"
 #include "Gateway/Tuning.h"
 #include "Group/Promoter.h"
+#include "Relay/RelayedSessions.h"
 #include "Session/Sessions.h"
 #include "Session/Transactions.h"
 
@@ -105,8 +106,10 @@
       CloseIdleSessionAtStop(aContext, *session);
     }
   }
+  CloseIdleRelayedSessions(aContext);
   if (HasStopTimePassed(aContext, kStopTransactionPercent)) {
     EndOpenTransactions(aContext);
+    CloseRelayedTransactions(aContext);
   }
   if (HasStopTimePassed(aContext, kStopEndPercent)) {
     CompleteStop(aContext);
@@ -124,19 +127,24 @@
       aSession.mTransaction.mState != TransactionState::None) {
     return;
   }
-  // A statement that has been sent but not received yet would get no answer.
-  const bool expectsStatement =
-    aSession.mIsStatementExpected &&
-    aContext.mNow - aSession.mIdleSince < kNextStatementTimeout;
-  if (!expectsStatement) {
+  if (!IsStatementDue(
+        aContext, aSession.mIsStatementExpected, aSession.mIdleSince)) {
     CloseNow(aContext, aSession.mId);
   }
 }
 
+bool
+IsStatementDue(const Context& aContext, bool aIsExpected, Instant aIdleSince)
+{
+  return aIsExpected && aContext.mNow - aIdleSince < kNextStatementTimeout;
+}
+
 void
 CompleteStopIfIdle(Context& aContext)
 {
-  if (aContext.mState.mSessions.empty() && IsRefusingSessions(aContext)) {
+  const State& state = aContext.mState;
+  if (state.mSessions.empty() && state.mRelays.mSessions.empty() &&
+      IsRefusingSessions(aContext)) {
     CompleteStop(aContext);
   }
 }
--- a/Source/Gateway/Stopping.h
+++ b/Source/Gateway/Stopping.h
@@ -15,6 +15,12 @@
 /// transaction and no statement expected soon.
 void CloseIdleSessionAtStop(Context& aContext, Session& aSession);
 
+/// Whether an idle session's next statement is expected soon, and may have been
+/// sent already. Closing the session would leave it without an answer.
+bool IsStatementDue(const Context& aContext,
+                    bool aIsExpected,
+                    Instant aIdleSince);
+
 /// Completes the planned stop if no session is left and new ones are refused.
 void CompleteStopIfIdle(Context& aContext);
 
--- a/Source/Gateway/Timers.h
+++ b/Source/Gateway/Timers.h
@@ -29,6 +29,8 @@
   QueryPeer,
   SendPeerReports,
   Stop,
+  /// An owner has not opened a session, or answered its statement, in time.
+  Relay,
 };
 
 /// The armed timers, at most one for each kind and number.
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -6,6 +6,7 @@
 #include "Backend/Pool.h"
 #include "Gateway/Stopping.h"
 #include "Gateway/Tuning.h"
+#include "Relay/RelayedSessions.h"
 #include "Session/Answers.h"
 #include "Session/Execution.h"
 #include "Session/Routing.h"
@@ -15,10 +16,6 @@
 
 namespace {
 
-/// The most statements that a caller may send before the answer to an earlier
-/// one. Normal use of the protocol needs only a few.
-constexpr std::size_t kMaxPipeline = 64;
-
 /// Answers a statement that concerns only the session's state. Returns false
 /// for a statement that a server has to run.
 bool
@@ -170,7 +167,7 @@
 }
 
 void
-HandleSessionOpened(Context& aContext, const SessionOpened& aEvent)
+OpenSession(Context& aContext, const SessionOpened& aEvent, SessionPlace aPlace)
 {
   const Catalogue& catalogue = aContext.mState.mCatalogue;
   if (IsRefusingSessions(aContext)) {
@@ -198,13 +195,28 @@
                         "no route has that name" });
     return;
   }
+  if (aPlace == SessionPlace::AnyHost && RelaySession(aContext, aEvent)) {
+    return;
+  }
+  OpenLocalSession(aContext, aEvent);
+  Emit(aContext, AcceptSession{ aEvent.mSession });
+}
+
+void
+OpenLocalSession(Context& aContext, const SessionOpened& aEvent)
+{
   Session session;
   session.mId = aEvent.mSession;
   session.mIdleSince = aContext.mNow;
   session.mDatabase = aEvent.mDatabase;
   aContext.mState.mSessions.emplace(session.mId, std::move(session));
   ++aContext.mState.mCounters.mSessions;
-  Emit(aContext, AcceptSession{ aEvent.mSession });
+}
+
+void
+HandleSessionOpened(Context& aContext, const SessionOpened& aEvent)
+{
+  OpenSession(aContext, aEvent, SessionPlace::AnyHost);
 }
 
 void
@@ -212,6 +224,7 @@
 {
   Session* const session = Find(aContext.mState.mSessions, aEvent.mSession);
   if (session == nullptr) {
+    HandleRelayedStatement(aContext, aEvent);
     return;
   }
   if (session->mPipeline.size() >= kMaxPipeline) {
@@ -256,6 +269,7 @@
 {
   Session* const session = Find(aContext.mState.mSessions, aEvent.mSession);
   if (session == nullptr) {
+    EndRelayedSession(aContext, aEvent.mSession);
     return;
   }
   AbandonStatement(aContext, *session);
--- a/Source/Session/Sessions.h
+++ b/Source/Session/Sessions.h
@@ -1,10 +1,32 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+
 #include "Gateway/Context.h"
 #include "Gateway/Event.h"
 
 namespace camphorstep::gateway {
 
+/// The most statements that a caller may send before the answer to an earlier
+/// one. Normal use of the protocol needs only a few.
+constexpr std::size_t kMaxPipeline = 64;
+
+/// Which host may run a session.
+enum class SessionPlace : std::uint8_t
+{
+  AnyHost,
+  ThisHost,
+};
+
+/// Opens a session, or refuses it.
+void OpenSession(Context& aContext,
+                 const SessionOpened& aEvent,
+                 SessionPlace aPlace);
+
+/// Has this host run a session that the caller knows to be open.
+void OpenLocalSession(Context& aContext, const SessionOpened& aEvent);
+
 void HandleSessionOpened(Context& aContext, const SessionOpened& aEvent);
 
 void HandleStatementReceived(Context& aContext,
--- a/Tests/Promotions/WorldHosts.cpp
+++ b/Tests/Promotions/WorldHosts.cpp
@@ -349,6 +349,10 @@
     OpenConnection(mWorld, mHost, aEffect);
   }
   void operator()(const CloseLink&) const {}
+  // Hosts pass no sessions on unless their settings permit it.
+  void operator()(const OpenRelay&) const {}
+  void operator()(const SendOnRelay&) const {}
+  void operator()(const EndRelay&) const {}
   void operator()(const SendOnLink& aEffect) const
   {
     SendToServer(mWorld, mHost, aEffect);
