Shell: Connections over which hosts pass sessions on

Cause: the effects and events of Source/Relay need connections between hosts. Change: one connection on the peer port for each pair of entry host and owner (RelayLinks, RelayIntake). Its first frame is a greeting with a version, a new last alternative of PeerMessage, at which hosts of an earlier version close it. Waiting bytes, sessions of a connection and bytes of an answer are bounded; large answers are cut into frames. Setting [relay] enabled, "no" by default; counters. The decoders' fuzz target reads the new messages. The stand-ins learn gateways in processes of their own, which tests kill and freeze. The fuzzer was not run on this commit.

--- a/Source/Settings/GatewaySettings.cpp
+++ b/Source/Settings/GatewaySettings.cpp
@@ -1,5 +1,6 @@
 #include "Settings/GatewaySettings.h"
 
+#include <array>
 #include <stdexcept>
 
 #include "Model/IniReader.h"
@@ -10,6 +11,10 @@
 namespace {
 
 constexpr std::string_view kDataCentrePrefix = "data_centre.";
+constexpr std::array kBooleanNames{
+  EnumName{ false, "no" },
+  EnumName{ true, "yes" },
+};
 constexpr std::int64_t kMaxGraceMs = 600'000;
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1'000.0;
@@ -34,6 +39,8 @@
     aSettings.mMetricsAddress = RequireAddress(reader, "metrics");
   } else if (aSection.mName == "stop") {
     reader.ReadMilliseconds("grace_ms", aSettings.mStopGrace, 1, kMaxGraceMs);
+  } else if (aSection.mName == "relay") {
+    reader.Read("enabled", aSettings.mIsRelaying, kBooleanNames);
   } else if (aSection.mName == "platform") {
     aSettings.mStoreAddress = RequireAddress(reader, "store");
     aSettings.mPromotionAddress = RequireAddress(reader, "promotions");
--- a/Source/Settings/GatewaySettings.h
+++ b/Source/Settings/GatewaySettings.h
@@ -28,6 +28,11 @@
   /// How long a stop may take before the process is killed.
   Duration mStopGrace{ 6'000'000 };
 
+  // [relay]
+  /// Whether sessions are passed on to the owners of connections where
+  /// connections are scarce.
+  bool mIsRelaying = false;
+
   // [platform]
   Address mStoreAddress;
   Address mPromotionAddress;
--- a/Source/Shell/FramedConnection.cpp
+++ b/Source/Shell/FramedConnection.cpp
@@ -34,6 +34,12 @@
   mSocket.Accept(aLoop, aListener);
 }
 
+void
+FramedConnection::LimitSilence(std::chrono::milliseconds aLimit)
+{
+  mSocket.LimitSilence(aLimit);
+}
+
 void
 FramedConnection::Send(std::string_view aPayload)
 {
--- a/Source/Shell/FramedConnection.h
+++ b/Source/Shell/FramedConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -37,6 +38,9 @@
   void Accept(cxxtools::SelectorBase& aLoop,
               const cxxtools::net::TcpServer& aListener);
 
+  /// As StreamSocket::LimitSilence.
+  void LimitSilence(std::chrono::milliseconds aLimit);
+
   /// Sends one frame, now or when the socket takes it.
   void Send(std::string_view aPayload);
 
@@ -45,6 +49,9 @@
 
   bool IsClosed() const { return mSocket.IsClosed(); }
 
+  /// The number of bytes that wait to be sent.
+  std::size_t UnsentBytes() const { return mSocket.UnsentBytes(); }
+
   /// The number of bytes of an incomplete frame that have arrived.
   std::size_t PendingBytes() const { return mInput.Pending(); }
 
--- a/Source/Shell/GatewayPeers.cpp
+++ b/Source/Shell/GatewayPeers.cpp
@@ -1,9 +1,11 @@
 #include "Shell/GatewayPeers.h"
 
 #include <exception>
+#include <type_traits>
 #include <utility>
 
 #include "Common/Log.h"
+#include "Shell/RelayLimits.h"
 #include "Wire/Codec.h"
 
 namespace camphorstep {
@@ -15,6 +17,13 @@
 /// How long closed connections may wait to be freed.
 constexpr double kCollectMilliseconds = 50.0;
 
+/// Whether a part of the peers' connections carries an effect out.
+template<typename Carrier, typename Body>
+concept Carries = requires(Carrier& aCarrier, const Body& aBody)
+{
+  aCarrier.Carry(aBody);
+};
+
 }
 
 GatewayPeers::GatewayPeers(cxxtools::SelectorBase& aLoop,
@@ -23,6 +32,12 @@
   : mLoop(aLoop)
   , mSink(aSink)
   , mListener(aAddress.mIp, aAddress.mPort, kBacklog)
+  , mRelayLinks(aLoop, aSink)
+  , mRelayIntake(
+      aSink,
+      [this](gateway::PeerLinkId aLink, const std::string& aPayload) {
+        SendRelayed(aLink, aPayload);
+      })
 {
   cxxtools::connect(
     mListener.connectionPending, *this, &GatewayPeers::OnPending);
@@ -55,6 +70,26 @@
   }
 }
 
+bool
+GatewayPeers::CarryRelayed(const gateway::Effect& aEffect)
+{
+  return std::visit(
+    [this](const auto& aBody) {
+      using Body = std::decay_t<decltype(aBody)>;
+      if constexpr (Carries<RelayLinks, Body>) {
+        mRelayLinks.Carry(aBody);
+        return true;
+      } else if constexpr (Carries<RelayIntake, Body>) {
+        if (RelayIntake::Owns(aBody.mSession)) {
+          mRelayIntake.Carry(aBody);
+          return true;
+        }
+      }
+      return false;
+    },
+    aEffect);
+}
+
 void
 GatewayPeers::OnPending(cxxtools::net::TcpServer& aListener)
 {
@@ -62,7 +97,7 @@
   FramedConnection::Handlers handlers;
   handlers.mOnConnected = [] {};
   handlers.mOnFrame = [this, id](const std::string& aPayload) {
-    HandleQuery(id, aPayload);
+    HandleIncoming(id, aPayload);
   };
   handlers.mOnClosed = [this, id] { RemoveIncoming(id); };
   auto connection = std::make_unique<FramedConnection>(std::move(handlers));
@@ -88,13 +123,27 @@
 }
 
 void
-GatewayPeers::HandleQuery(gateway::PeerLinkId aLink,
-                          const std::string& aPayload)
+GatewayPeers::HandleMessage(gateway::PeerLinkId aLink,
+                            const std::string& aPayload)
+{
+  const auto message = Decode<gateway::PeerMessage>(aPayload);
+  if (const auto* const query = std::get_if<gateway::PeerQuery>(&message)) {
+    mSink.Deliver(gateway::PeerQueryReceived{ aLink, *query });
+  } else if (const auto* const greeting =
+               std::get_if<gateway::RelayGreeting>(&message)) {
+    HandleGreeting(aLink, *greeting);
+  }
+}
+
+void
+GatewayPeers::HandleIncoming(gateway::PeerLinkId aLink,
+                             const std::string& aPayload)
 {
   try {
-    const auto message = Decode<gateway::PeerMessage>(aPayload);
-    if (const auto* const query = std::get_if<gateway::PeerQuery>(&message)) {
-      mSink.Deliver(gateway::PeerQueryReceived{ aLink, *query });
+    if (mRelayIntake.HasLink(aLink)) {
+      mRelayIntake.HandleRequest(aLink, aPayload);
+    } else {
+      HandleMessage(aLink, aPayload);
     }
   } catch (const DecodeError& ex) {
     WriteLog(LogLevel::Warning,
@@ -104,6 +153,40 @@
   }
 }
 
+void
+GatewayPeers::HandleGreeting(gateway::PeerLinkId aLink,
+                             const gateway::RelayGreeting& aGreeting)
+{
+  const auto it = mIncoming.find(aLink);
+  if (it == mIncoming.end()) {
+    return;
+  }
+  if (aGreeting.mVersion != gateway::kRelayVersion) {
+    RemoveIncoming(aLink);
+    return;
+  }
+  it->second->LimitSilence(kRelaySilenceLimit);
+  mRelayIntake.AddLink(aLink);
+}
+
+void
+GatewayPeers::SendRelayed(gateway::PeerLinkId aLink,
+                          const std::string& aPayload)
+{
+  const auto it = mIncoming.find(aLink);
+  if (it == mIncoming.end()) {
+    return;
+  }
+  if (it->second->UnsentBytes() > kMaxUnsentRelayBytes) {
+    WriteLog(LogLevel::Warning,
+             "host does not read the answers to sessions that it passes on; "
+             "closing the connection");
+    RemoveIncoming(aLink);
+    return;
+  }
+  it->second->Send(aPayload);
+}
+
 void
 GatewayPeers::HandleReport(const std::string& aPayload)
 {
@@ -127,6 +210,7 @@
   if (it != mIncoming.end()) {
     Retire(std::move(it->second));
     mIncoming.erase(it);
+    mRelayIntake.RemoveLink(aLink);
   }
 }
 
--- a/Source/Shell/GatewayPeers.h
+++ b/Source/Shell/GatewayPeers.h
@@ -12,11 +12,13 @@
 #include "Gateway/Effect.h"
 #include "Shell/FramedConnection.h"
 #include "Shell/GatewaySink.h"
+#include "Shell/RelayIntake.h"
+#include "Shell/RelayLinks.h"
 
 namespace camphorstep {
 
-/// Exchanges messages with other gateway hosts: answers those that ask, and
-/// asks one at a time.
+/// Exchanges messages with other gateway hosts: answers those that ask, asks
+/// one at a time, and passes sessions on and takes them over.
 class GatewayPeers : public cxxtools::Connectable
 {
 public:
@@ -27,11 +29,19 @@
   void Carry(const gateway::SendPeerQuery& aEffect);
   void Carry(const gateway::SendPeerReport& aEffect);
 
+  /// Carries an effect out if it concerns a session that is passed on from or
+  /// to this host. Returns whether it does.
+  bool CarryRelayed(const gateway::Effect& aEffect);
+
 private:
   void OnPending(cxxtools::net::TcpServer& aListener);
   void OnCollect();
-  void HandleQuery(gateway::PeerLinkId aLink, const std::string& aPayload);
+  void HandleIncoming(gateway::PeerLinkId aLink, const std::string& aPayload);
+  void HandleMessage(gateway::PeerLinkId aLink, const std::string& aPayload);
   void HandleReport(const std::string& aPayload);
+  void HandleGreeting(gateway::PeerLinkId aLink,
+                      const gateway::RelayGreeting& aGreeting);
+  void SendRelayed(gateway::PeerLinkId aLink, const std::string& aPayload);
   void RemoveIncoming(gateway::PeerLinkId aLink);
   void OpenOutgoing(const Address& aAddress);
   void CloseOutgoing();
@@ -49,6 +59,8 @@
   std::unique_ptr<FramedConnection> mOutgoing;
   Address mOutgoingAddress;
   std::vector<std::unique_ptr<FramedConnection>> mRetired;
+  RelayLinks mRelayLinks;
+  RelayIntake mRelayIntake;
 };
 
 }
--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -61,6 +61,7 @@
                                                     kThousandths) };
   state.mSelf.mRegions = aSettings.mRegions;
   state.mSelf.mStopGrace = aSettings.mStopGrace;
+  state.mSelf.mIsRelaying = aSettings.mIsRelaying;
   return state;
 }
 
@@ -158,7 +159,7 @@
   } else if (std::holds_alternative<StopComplete>(aEffect)) {
     mAdapter->Flush();
     mLoop.exit();
-  } else {
+  } else if (!mPeers.CarryRelayed(aEffect)) {
     mAdapter->Apply(aEffect);
   }
 }
@@ -210,8 +211,8 @@
     mSettings = settings;
     mAdapter->ChangeSettings(mSettings);
     WriteLog(LogLevel::Info, "settings reloaded");
-    Deliver(
-      gateway::SettingsChanged{ mSettings.mRegions, mSettings.mStopGrace });
+    Deliver(gateway::SettingsChanged{
+      mSettings.mRegions, mSettings.mStopGrace, mSettings.mIsRelaying });
   } catch (const std::exception& ex) {
     WriteLog(LogLevel::Error,
              "settings were not reloaded; the former ones stay in force",
--- a/Source/Shell/StreamSocket.h
+++ b/Source/Shell/StreamSocket.h
@@ -64,6 +64,12 @@
   /// Ends the connection; no handler is called any more.
   void Close();
 
+  /// The number of bytes that wait to be sent.
+  std::size_t UnsentBytes() const
+  {
+    return mWaiting.size() + mWriting.size() - mWritten;
+  }
+
   bool IsClosed() const { return mClosed; }
   bool IsConnected() const { return mConnected; }
   /// Whether the other side has reset the connection.
--- a/Tests/Decoders/Decoders.cpp
+++ b/Tests/Decoders/Decoders.cpp
@@ -5,6 +5,7 @@
 
 #include "Entry/SessionToken.h"
 #include "Gateway/PeerMessage.h"
+#include "Gateway/RelayMessage.h"
 #include "Messages/ServerMessage.h"
 #include "Model/Profile.h"
 #include "Settings/Settings.h"
@@ -134,6 +135,8 @@
 DecodeGatewayPeer(const std::string& aBytes)
 {
   RoundTrip<gateway::PeerMessage>(aBytes);
+  RoundTrip<gateway::RelayRequest>(aBytes);
+  RoundTrip<gateway::RelayResponse>(aBytes);
 }
 
 void
--- a/Tests/Platform/Standin/LocalGateway.h
+++ b/Tests/Platform/Standin/LocalGateway.h
@@ -5,12 +5,23 @@
 #include <string>
 #include <thread>
 
+#include <sys/types.h>
+
 #include <cxxtools/net/tcpstream.h>
 
 #include "Shell/GatewayRuntime.h"
 
 namespace camphorstep::standin {
 
+/// What distinguishes a gateway from others of its site.
+struct GatewayOptions
+{
+  std::string mHostName = "h1";
+  double mProcessorShare = 1.0;
+  /// Whether it passes sessions on to owners of connections.
+  bool mIsRelaying = false;
+};
+
 /// A gateway on loopback ports from a first one on, in a thread of its own. It
 /// uses the stand-in site whose ports begin at another one.
 class LocalGateway
@@ -31,6 +42,33 @@
   std::thread mThread;
 };
 
+/// A gateway in a process of its own, which can be killed and frozen. Must be
+/// started while the test has no other threads.
+class GatewayProcess
+{
+public:
+  GatewayProcess(std::uint16_t aFirstPort,
+                 std::uint16_t aSitePort,
+                 const GatewayOptions& aOptions);
+
+  /// Kills the process.
+  ~GatewayProcess();
+
+  GatewayProcess(const GatewayProcess&) = delete;
+  GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+  void Kill();
+  void Freeze();
+
+  /// The value of a metric without labels; zero if it cannot be read.
+  std::uint64_t MetricOf(const std::string& aName) const;
+
+private:
+  std::uint16_t mFirstPort;
+  std::string mSettingsPath;
+  pid_t mProcess = 0;
+};
+
 /// A caller that waits for each answer.
 class Caller
 {
--- a/Tests/Platform/Standin/SiteStandin.cpp
+++ b/Tests/Platform/Standin/SiteStandin.cpp
@@ -101,10 +101,11 @@
     routes += routes.empty() ? "" : ",";
     routes += RouteText(database, database == aDatabases.front());
   }
-  const std::string text =
-    "{\"Version\":" + std::to_string(aVersion) + ",\"Routes\":[" + routes +
-    R"(],"Services":[{"Name":"records","MaxConns":32,"SyncReplicas":1}],)"
-    R"("Limits":{"TxIdleMs":3000}})";
+  const std::string text = "{\"Version\":" + std::to_string(aVersion) +
+                           ",\"Routes\":[" + routes +
+                           R"(],"Services":[{"Name":"records","MaxConns":)" +
+                           std::to_string(mMaxConnections) +
+                           R"(,"SyncReplicas":1}],"Limits":{"TxIdleMs":3000}})";
   Do([&] { mStore.Put("op", "config", text); });
 }
 
--- a/Tests/Platform/Standin/SiteStandin.h
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -55,6 +55,10 @@
   void Publish(std::uint64_t aVersion,
                const std::vector<std::string>& aDatabases);
 
+  /// Sets the most connections to a server that configurations name from now
+  /// on.
+  void SetMaxConnections(std::uint32_t aMost) { mMaxConnections = aMost; }
+
   /// Ends a server and removes its entry.
   void RemoveServer(std::size_t aServer);
 
@@ -83,6 +87,7 @@
   void OnWake(const cxxtools::Event& aEvent);
 
   std::uint16_t mFirstPort;
+  std::uint32_t mMaxConnections = 32;
   cxxtools::EventLoop mLoop;
   StoreStandin mStore;
   HttpStandin mPromotions;
