--- a/Source/Gateway/Counters.h
+++ b/Source/Gateway/Counters.h
@@ -29,6 +29,13 @@
   std::uint64_t mGiven = 0;
 };
 
+/// Statements of sessions that were passed on whose owner was lost.
+struct RelayInterruptions
+{
+  std::uint64_t mNotRun = 0;
+  std::uint64_t mUnknown = 0;
+};
+
 /// Monotonic counters, exported as metrics.
 struct Counters
 {
@@ -55,6 +62,14 @@
   std::uint64_t mCommitsUnproved = 0;
   std::uint64_t mStoreCalls = 0;
   RateLimitCounters mRateLimits;
+  /// Sessions passed on to owners, and those that others have passed on here.
+  std::uint64_t mSessionsRelayed = 0;
+  std::uint64_t mSessionsTakenOver = 0;
+  std::uint64_t mStatementsRelayed = 0;
+  RelayInterruptions mRelayInterruptions;
+  /// Sessions that ran here because their owner did not open them.
+  std::uint64_t mRelayFallbacks = 0;
+  std::uint64_t mOwnersPassedOver = 0;
 };
 
 }
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -9,6 +9,7 @@
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
 #include "Gateway/PeerMessage.h"
+#include "Gateway/RelayMessage.h"
 #include "Gateway/Statement.h"
 #include "Gateway/StoreRecord.h"
 
@@ -110,6 +111,19 @@
 struct PeerConnectionLost
 {};
 
+/// A statement was not passed on because too many bytes wait to be sent to the
+/// owner.
+struct RelayStatementUnsent
+{
+  RelayId mRelay;
+};
+
+/// The connection to an owner ended or could not be opened.
+struct RelayConnectionLost
+{
+  std::string mHost;
+};
+
 /// The settings file was reloaded.
 struct SettingsChanged
 {
@@ -121,6 +135,8 @@
   /// The most that the values and prepared statements of a session may take, in
   /// bytes; 0 sets no limit.
   std::size_t mMaxSessionBytes = 0;
+  /// Whether sessions may be passed on to owners of connections.
+  bool mIsRelaying = false;
 };
 
 /// The process has been asked to stop.
@@ -146,6 +162,9 @@
                                RateLimitQueryReceived,
                                RateLimitReportReceived,
                                PeerConnectionLost,
+                               RelayResponse,
+                               RelayStatementUnsent,
+                               RelayConnectionLost,
                                SettingsChanged,
                                StopRequested,
                                TimePassed>;
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -15,6 +15,7 @@
 #include "Gateway/Timers.h"
 #include "Group/GroupState.h"
 #include "RateLimits/RateLimitState.h"
+#include "Relay/RelayState.h"
 #include "Session/SessionState.h"
 
 namespace camphorstep::gateway {
@@ -30,6 +31,8 @@
   /// The most that the values and prepared statements of a session may take, in
   /// bytes; 0 sets no limit.
   std::size_t mMaxSessionBytes = 0;
+  /// Whether sessions may be passed on to owners of connections.
+  bool mIsRelaying = false;
 };
 
 /// The progress of a planned stop.
@@ -63,6 +66,7 @@
   PromoterState mPromoter;
   FleetState mFleet;
   RateLimitState mRateLimits;
+  RelayState mRelays;
   Counters mCounters;
   /// Lines on what callers were refused.
   LogLimit mRefusalLog;
--- a/Source/Gateway/Timers.h
+++ b/Source/Gateway/Timers.h
@@ -33,6 +33,8 @@
   /// Operations of an account have waited for too long for their tokens.
   TokenRequests,
   Stop,
+  /// An owner has not opened a session, or answered its statement, in time.
+  Relay,
 };
 
 /// The armed timers, at most one for each kind and number.
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -7,6 +7,7 @@
 #include "Gateway/Stopping.h"
 #include "Gateway/Tuning.h"
 #include "RateLimits/RateLimits.h"
+#include "Relay/RelayedSessions.h"
 #include "Session/Answers.h"
 #include "Session/Execution.h"
 #include "Session/Routing.h"
@@ -17,10 +18,6 @@
 
 namespace {
 
-/// The most statements that a caller may send before the answer to an earlier
-/// one. Normal use of the protocol needs only a few.
-constexpr std::size_t kMaxPipeline = 64;
-
 /// Answers a statement whose value or name the session keeps, or could not keep
 /// within its limit.
 void
@@ -206,7 +203,7 @@
 }
 
 void
-HandleSessionOpened(Context& aContext, const SessionOpened& aEvent)
+OpenSession(Context& aContext, const SessionOpened& aEvent, SessionPlace aPlace)
 {
   const Catalogue& catalogue = aContext.mState.mCatalogue;
   if (IsRefusingSessions(aContext)) {
@@ -234,13 +231,28 @@
                         "no route has that name" });
     return;
   }
+  if (aPlace == SessionPlace::AnyHost && RelaySession(aContext, aEvent)) {
+    return;
+  }
+  OpenLocalSession(aContext, aEvent);
+  Emit(aContext, AcceptSession{ aEvent.mSession });
+}
+
+void
+OpenLocalSession(Context& aContext, const SessionOpened& aEvent)
+{
   Session session;
   session.mId = aEvent.mSession;
   session.mIdleSince = aContext.mNow;
   session.mDatabase = aEvent.mDatabase;
   aContext.mState.mSessions.emplace(session.mId, std::move(session));
   ++aContext.mState.mCounters.mSessions;
-  Emit(aContext, AcceptSession{ aEvent.mSession });
+}
+
+void
+HandleSessionOpened(Context& aContext, const SessionOpened& aEvent)
+{
+  OpenSession(aContext, aEvent, SessionPlace::AnyHost);
 }
 
 void
@@ -248,6 +260,7 @@
 {
   Session* const session = Find(aContext.mState.mSessions, aEvent.mSession);
   if (session == nullptr) {
+    HandleRelayedStatement(aContext, aEvent);
     return;
   }
   if (session->mPipeline.size() >= kMaxPipeline) {
@@ -296,6 +309,7 @@
 {
   Session* const session = Find(aContext.mState.mSessions, aEvent.mSession);
   if (session == nullptr) {
+    EndRelayedSession(aContext, aEvent.mSession);
     return;
   }
   AbandonStatement(aContext, *session);
--- a/Source/Settings/GatewaySettings.cpp
+++ b/Source/Settings/GatewaySettings.cpp
@@ -1,5 +1,6 @@
 #include "Settings/GatewaySettings.h"
 
+#include <array>
 #include <stdexcept>
 
 #include "Model/IniReader.h"
@@ -10,6 +11,10 @@
 namespace {
 
 constexpr std::string_view kDataCentrePrefix = "data_centre.";
+constexpr std::array kBooleanNames{
+  EnumName{ false, "no" },
+  EnumName{ true, "yes" },
+};
 constexpr std::int64_t kMaxGraceMs = 600'000;
 constexpr std::int64_t kMinWindowMs = 100;
 constexpr std::int64_t kMaxWindowMs = 3'600'000;
@@ -65,6 +70,8 @@
       "window_ms", bounds.mWindow, kMinWindowMs, kMaxWindowMs);
     reader.Read("overage", bounds.mOverage, 0.0, kMaxOverage);
     reader.Read("slack", bounds.mSlack, 0.0, kMaxSlack);
+  } else if (aSection.mName == "relay") {
+    reader.Read("enabled", aSettings.mIsRelaying, kBooleanNames);
   } else if (aSection.mName == "platform") {
     aSettings.mStoreAddress = RequireAddress(reader, "store");
     aSettings.mPromotionAddress = RequireAddress(reader, "promotions");
--- a/Source/Settings/GatewaySettings.h
+++ b/Source/Settings/GatewaySettings.h
@@ -46,6 +46,11 @@
   /// How far the operations in a window may exceed an account's limit.
   gateway::LimitBounds mLimitBounds;
 
+  // [relay]
+  /// Whether sessions are passed on to the owners of connections where
+  /// connections are scarce.
+  bool mIsRelaying = false;
+
   // [platform]
   Address mStoreAddress;
   Address mPromotionAddress;
--- a/Source/Shell/GatewayPeers.cpp
+++ b/Source/Shell/GatewayPeers.cpp
@@ -1,10 +1,12 @@
 #include "Shell/GatewayPeers.h"
 
 #include <exception>
+#include <type_traits>
 #include <utility>
 
 #include "Common/Log.h"
 #include "Shell/Clock.h"
+#include "Shell/RelayLimits.h"
 #include "Wire/Codec.h"
 
 namespace camphorstep {
@@ -24,6 +26,13 @@
 /// How long closed connections may wait to be freed.
 constexpr double kCollectMilliseconds = 50.0;
 
+/// Whether a part of the peers' connections carries an effect out.
+template<typename Carrier, typename Body>
+concept Carries = requires(Carrier& aCarrier, const Body& aBody)
+{
+  aCarrier.Carry(aBody);
+};
+
 }
 
 GatewayPeers::GatewayPeers(cxxtools::SelectorBase& aLoop,
@@ -34,6 +43,12 @@
   , mSink(aSink)
   , mListener(aAddress.mIp, aAddress.mPort, kBacklog)
   , mMaxIncoming(aLimits.mPeers)
+  , mRelayLinks(aLoop, aSink)
+  , mRelayIntake(
+      aSink,
+      [this](gateway::PeerLinkId aLink, const std::string& aPayload) {
+        SendRelayed(aLink, aPayload);
+      })
 {
   mBudget.mLimit = aLimits.mPeerBytes;
   cxxtools::connect(
@@ -67,6 +82,26 @@
   }
 }
 
+bool
+GatewayPeers::CarryRelayed(const gateway::Effect& aEffect)
+{
+  return std::visit(
+    [this](const auto& aBody) {
+      using Body = std::decay_t<decltype(aBody)>;
+      if constexpr (Carries<RelayLinks, Body>) {
+        mRelayLinks.Carry(aBody);
+        return true;
+      } else if constexpr (Carries<RelayIntake, Body>) {
+        if (RelayIntake::Owns(aBody.mSession)) {
+          mRelayIntake.Carry(aBody);
+          return true;
+        }
+      }
+      return false;
+    },
+    aEffect);
+}
+
 void
 GatewayPeers::Carry(const gateway::SendRateLimitQuery& aEffect)
 {
@@ -91,7 +126,7 @@
   FramedConnection::Handlers handlers;
   handlers.mOnConnected = [] {};
   handlers.mOnFrame = [this, id](const std::string& aPayload) {
-    HandleQuery(id, aPayload);
+    HandleIncoming(id, aPayload);
   };
   handlers.mOnPartialFrame = [this, id] { NoteIncoming(id); };
   handlers.mOnClosed = [this, id] { RemoveIncoming(id); };
@@ -124,21 +159,35 @@
 }
 
 void
-GatewayPeers::HandleQuery(gateway::PeerLinkId aLink,
-                          const std::string& aPayload)
+GatewayPeers::HandleMessage(gateway::PeerLinkId aLink,
+                            const std::string& aPayload)
+{
+  const auto message = Decode<gateway::PeerMessage>(aPayload);
+  mSilent.erase(aLink);
+  NoteIncoming(aLink);
+  if (DropUnread(aLink)) {
+    return;
+  }
+  if (const auto* const query = std::get_if<gateway::PeerQuery>(&message)) {
+    mSink.Deliver(gateway::PeerQueryReceived{ aLink, *query });
+  } else if (const auto* const limitQuery =
+               std::get_if<gateway::RateLimitQuery>(&message)) {
+    mSink.Deliver(gateway::RateLimitQueryReceived{ aLink, *limitQuery });
+  } else if (const auto* const greeting =
+               std::get_if<gateway::RelayGreeting>(&message)) {
+    HandleGreeting(aLink, *greeting);
+  }
+}
+
+void
+GatewayPeers::HandleIncoming(gateway::PeerLinkId aLink,
+                             const std::string& aPayload)
 {
   try {
-    const auto message = Decode<gateway::PeerMessage>(aPayload);
-    if (const auto* const query = std::get_if<gateway::PeerQuery>(&message)) {
-      mSilent.erase(aLink);
-      NoteIncoming(aLink);
-      if (DropUnread(aLink)) {
-        return;
-      }
-      mSink.Deliver(gateway::PeerQueryReceived{ aLink, *query });
-    } else if (const auto* const limitQuery =
-                 std::get_if<gateway::RateLimitQuery>(&message)) {
-      mSink.Deliver(gateway::RateLimitQueryReceived{ aLink, *limitQuery });
+    if (mRelayIntake.HasLink(aLink)) {
+      mRelayIntake.HandleRequest(aLink, aPayload);
+    } else {
+      HandleMessage(aLink, aPayload);
     }
   } catch (const DecodeError& ex) {
     WriteLog(LogLevel::Warning,
@@ -148,6 +197,40 @@
   }
 }
 
+void
+GatewayPeers::HandleGreeting(gateway::PeerLinkId aLink,
+                             const gateway::RelayGreeting& aGreeting)
+{
+  const auto it = mIncoming.find(aLink);
+  if (it == mIncoming.end()) {
+    return;
+  }
+  if (aGreeting.mVersion != gateway::kRelayVersion) {
+    RemoveIncoming(aLink);
+    return;
+  }
+  it->second->LimitSilence(kRelaySilenceLimit);
+  mRelayIntake.AddLink(aLink);
+}
+
+void
+GatewayPeers::SendRelayed(gateway::PeerLinkId aLink,
+                          const std::string& aPayload)
+{
+  const auto it = mIncoming.find(aLink);
+  if (it == mIncoming.end()) {
+    return;
+  }
+  if (it->second->UnsentBytes() > kMaxUnsentRelayBytes) {
+    WriteLog(LogLevel::Warning,
+             "host does not read the answers to sessions that it passes on; "
+             "closing the connection");
+    RemoveIncoming(aLink);
+    return;
+  }
+  it->second->Send(aPayload);
+}
+
 void
 GatewayPeers::HandleReport(const std::string& aPayload)
 {
@@ -174,6 +257,7 @@
   if (it != mIncoming.end()) {
     Retire(std::move(it->second));
     mIncoming.erase(it);
+    mRelayIntake.RemoveLink(aLink);
   }
   mSilent.erase(aLink);
   SetHeld(mBudget, aLink.mValue, 0);
--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -88,6 +88,7 @@
   state.mSelf.mStopGrace = aSettings.mStopGrace;
   state.mRateLimits.mBounds = aSettings.mLimitBounds;
   state.mSelf.mMaxSessionBytes = MaxSessionBytes(aSettings);
+  state.mSelf.mIsRelaying = aSettings.mIsRelaying;
   return state;
 }
 
@@ -100,6 +101,7 @@
   event.mStopGrace = aSettings.mStopGrace;
   event.mLimitBounds = aSettings.mLimitBounds;
   event.mMaxSessionBytes = MaxSessionBytes(aSettings);
+  event.mIsRelaying = aSettings.mIsRelaying;
   return event;
 }
 
@@ -207,7 +209,7 @@
   } else if (std::holds_alternative<StopComplete>(aEffect)) {
     mAdapter->Flush();
     mLoop.exit();
-  } else {
+  } else if (!mPeers.CarryRelayed(aEffect)) {
     mAdapter->Apply(aEffect);
   }
 }
