Backend: With very many connections each keeps fewer copies of values

Cause: copies of values and prepared names on connections that serve no session are in no budget; a thousand connections with 64 kB each are 64 MB.

Change: all of them together keep 16 MB at most, each between 4 and 64 kB. Names of parameters follow the linter.

Result: gateway unit tests pass (182 cases, 2302 assertions), clang-tidy on the changed units had no other finding.

--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -312,7 +312,7 @@
     DropLink(aContext, aLink.mId);
     return;
   }
-  if (KeepsTooMuch(aLink)) {
+  if (KeepsTooMuch(aContext, aLink)) {
     ResetLink(aContext, aLink);
   }
   aContext.mState.mTimers.ArmSooner(TimerKind::Pool,
--- a/Source/Backend/Preparation.cpp
+++ b/Source/Backend/Preparation.cpp
@@ -13,9 +13,12 @@
 namespace {
 
 constexpr int kResetCost = 100;
-/// What a connection may keep of values and prepared statements once it serves
-/// no session.
+/// What all connections together, and each of them, may keep of values and
+/// prepared statements while they serve no session, in bytes. With very many
+/// connections each may keep the least.
+constexpr std::size_t kMaxAllCopies = 16 * 1024 * 1024;
 constexpr std::size_t kMaxIdleCopies = 64 * 1024;
+constexpr std::size_t kMinIdleCopies = 4 * 1024;
 
 /// Whether a connection holds a value that the session does not.
 bool
@@ -99,9 +102,12 @@
 }
 
 bool
-KeepsTooMuch(const Link& aLink)
+KeepsTooMuch(const Context& aContext, const Link& aLink)
 {
-  return aLink.mCopiedBytes > kMaxIdleCopies;
+  const std::size_t links =
+    std::max<std::size_t>(1, aContext.mState.mLinks.size());
+  return aLink.mCopiedBytes >
+         std::clamp(kMaxAllCopies / links, kMinIdleCopies, kMaxIdleCopies);
 }
 
 std::string
--- a/Source/Backend/Preparation.h
+++ b/Source/Backend/Preparation.h
@@ -23,7 +23,7 @@
 
 /// Whether a connection keeps more values and prepared statements than one that
 /// serves no session may.
-bool KeepsTooMuch(const Link& aLink);
+bool KeepsTooMuch(const Context& aContext, const Link& aLink);
 
 /// The name of a prepared statement on servers, the same for all callers that
 /// prepare the same.
--- a/Source/Shell/HttpResponder.cpp
+++ b/Source/Shell/HttpResponder.cpp
@@ -119,10 +119,12 @@
 void
 HttpResponder::RemoveLeastRecent()
 {
-  const auto it = std::min_element(
-    mClients.begin(), mClients.end(), [](const auto& aFirst, const auto& a) {
-      return aFirst.second.mLastUse < a.second.mLastUse;
-    });
+  const auto it =
+    std::min_element(mClients.begin(),
+                     mClients.end(),
+                     [](const auto& aFirst, const auto& aSecond) {
+                       return aFirst.second.mLastUse < aSecond.second.mLastUse;
+                     });
   if (it != mClients.end()) {
     Remove(it->first);
   }
--- a/Tests/Crowds/CrowdsMain.cpp
+++ b/Tests/Crowds/CrowdsMain.cpp
@@ -245,8 +245,10 @@
     return result.count("help") > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
   }
   const auto name = result["crowd"].as<std::string>();
-  const auto it = std::find_if(
-    cases.begin(), cases.end(), [&](const Case& a) { return a.mName == name; });
+  const auto it =
+    std::find_if(cases.begin(), cases.end(), [&](const Case& aCase) {
+      return aCase.mName == name;
+    });
   if (it == cases.end()) {
     throw std::runtime_error("there is no crowd of that name");
   }
--- a/Tests/Gateway/BudgetTest.cpp
+++ b/Tests/Gateway/BudgetTest.cpp
@@ -220,3 +220,22 @@
   driver.AdvanceTime(5s);
   CHECK_FALSE(driver.mState.mLinks.contains(rollback->mLink));
 }
+
+TEST_CASE("Many connections keep less each", "[Budget]")
+{
+  GatewayDriver driver;
+  driver.OpenSession(1, "main");
+  // As many connections as a large site has.
+  for (std::uint64_t n = 1; n <= 2'000; ++n) {
+    const LinkId id{ 1'000'000 + n };
+    driver.mState.mLinks[id].mId = id;
+  }
+  driver.Send(1, StatementKind::SetValue, "a", std::string(20'000, 'v'));
+  driver.Send(1, StatementKind::Read);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  driver.Reply(*read);
+  const auto reset = driver.Take<SendOnLink>();
+  REQUIRE(reset);
+  CHECK(reset->mRequest.mVerb == BackendVerb::Reset);
+}
