Rate limits, Tests: Press the bound in the random test

Change: the random test begins calm, lets accounts rest and flood from changing data centres, cuts hosts off for longer than a share lasts, and has no overage and slack in every other seed. A test of hosts that are cut off for long.

--- a/Tests/RateLimits/BoundTest.cpp
+++ b/Tests/RateLimits/BoundTest.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <random>
 #include <string>
@@ -21,10 +21,17 @@
   return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
 }
 
-constexpr Duration kRunTime = 60s;
+/// Until then nothing fails, so that shares have been granted.
+constexpr Duration kCalmTime = 40s;
+constexpr Duration kRunTime = 120s;
 /// A host that restarts more than once in a window may exceed its floor.
 constexpr Duration kRestartInterval = 6s;
+constexpr std::size_t kDataCentres = 6;
 constexpr std::size_t kHostsPerDataCentre = 3;
+/// The demand of a flood, as a multiple of the limit.
+constexpr double kFloodPart = 5;
+/// The longest times between two disruptions, by seed.
+constexpr std::array kMaxPauses{ Duration(2s), Duration(6s), Duration(20s) };
 
 /// Brings disruptions about at random.
 class Disruptions
@@ -48,7 +55,7 @@
     const auto granter = mWorld.Granter();
     const std::size_t host = granter && mRandom() % 2 == 0 ? *granter : any;
     const bool mayRestart = mWorld.Now() >= mNextRestart;
-    switch (mRandom() % 10) {
+    switch (mRandom() % 14) {
       case 0:
       case 1:
         if (mayRestart) {
@@ -60,7 +67,8 @@
         mWorld.Freeze(host, Random(100ms, 10s));
         break;
       case 3:
-        mWorld.Cut(host, Random(200ms, 15s));
+        // Longer than a share lasts, at times.
+        mWorld.Cut(host, Random(200ms, 50s));
         break;
       case 4:
         mWorld.CutStore(host, Random(1s, 15s));
@@ -75,7 +83,7 @@
         mWorld.StopStore(Random(1s, 12s));
         break;
       case 7:
-        mWorld.AddHost(mRandom() % 6);
+        mWorld.AddHost(mRandom() % kDataCentres);
         break;
       case 8: {
         const std::size_t account = mRandom() % mWorld.mAccounts.size();
@@ -85,15 +93,34 @@
         mWorld.Publish(account, limit, Random(10ms, 5s));
         break;
       }
+      case 9:
+        mWorld.mFaults = {
+          LowChance(), LowChance(), LowChance(), Random(10ms, 8s)
+        };
+        break;
       default:
-        mWorld.mFaults = { mRandom() % 3 * 0.05,
-                           mRandom() % 3 * 0.05,
-                           mRandom() % 3 * 0.05,
-                           Random(10ms, 8s) };
+        ChangeDemands();
         break;
     }
   }
 
+  /// The chance that a message is lost, repeated or late.
+  double LowChance()
+  {
+    return std::uniform_real_distribution<double>(0, 0.3)(mRandom);
+  }
+
+  /// Accounts that ask for nothing have their buckets filled, and spend them at
+  /// once in a flood.
+  void ChangeDemands()
+  {
+    for (TestAccount& account : mWorld.mAccounts) {
+      const double part = mRandom() % 2 == 0 ? 0.0 : kFloodPart;
+      account.mDemand = account.mLimit.mPerSecond * part;
+      account.mDataCentres = 1 + mRandom() % kDataCentres;
+    }
+  }
+
 private:
   std::mt19937_64 mRandom;
   World& mWorld;
@@ -101,15 +128,13 @@
 };
 
 std::vector<TestAccount>
-FloodedAccounts()
+MakeAccounts()
 {
-  // All ask for several times their limits, so that whatever could be spent is
-  // spent.
   return {
-    { { 2, 2 }, 12, 6 },
-    { { 10, 10 }, 60, 6 },
-    { { 40, 40 }, 160, 2 },
-    { { 100, 100 }, 400, 6 },
+    { { 2, 2 }, 1, 6 },
+    { { 10, 10 }, 6, 6 },
+    { { 40, 40 }, 20, 2 },
+    { { 100, 100 }, 60, 6 },
   };
 }
 
@@ -119,14 +144,21 @@
           "[RateLimits]")
 {
   const std::uint64_t first = FromEnvironment("RATE_LIMITS_FIRST_SEED", 1);
-  const std::uint64_t count = FromEnvironment("RATE_LIMITS_SEEDS", 25);
+  const std::uint64_t count = FromEnvironment("RATE_LIMITS_SEEDS", 100);
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     CAPTURE(seed);
-    World world(seed, 6, kHostsPerDataCentre, FloodedAccounts());
+    World world(seed, kDataCentres, kHostsPerDataCentre, MakeAccounts());
+    if (seed % 2 == 0) {
+      // Without overage and slack there are no floors, and the least excess of
+      // shares and reserve shows.
+      world.mBounds.mOverage = 0;
+      world.mBounds.mSlack = 0;
+    }
     Disruptions disruptions(seed, world);
-    Duration at{ 0 };
+    Duration at = kCalmTime;
+    world.RunUntil(at);
     while (at < kRunTime) {
-      at += disruptions.Random(200ms, 4s);
+      at += disruptions.Random(200ms, kMaxPauses.at(seed % kMaxPauses.size()));
       world.RunUntil(at);
       disruptions.Next();
     }
@@ -135,3 +167,30 @@
     CHECK_FALSE(breach.has_value());
   }
 }
+
+TEST_CASE("Hosts that are cut off for long stop spending their shares",
+          "[RateLimits]")
+{
+  World world(
+    1, kDataCentres, kHostsPerDataCentre, { { { 100, 100 }, 60, 6 } });
+  world.mBounds.mOverage = 0;
+  world.mBounds.mSlack = 0;
+  world.RunUntil(kCalmTime);
+  REQUIRE(world.Granter().has_value());
+  const std::size_t granterDataCentre = *world.Granter() % kDataCentres;
+  for (std::size_t n = 0; n < world.HostCount(); ++n) {
+    const std::size_t dataCentre = n % kDataCentres;
+    if (dataCentre != granterDataCentre && dataCentre % 2 == 0) {
+      world.Cut(n, 100s);
+    }
+  }
+  // Their shares have run out, and the others have them.
+  world.RunUntil(kCalmTime + 45s);
+  world.mAccounts[0].mDemand = 0;
+  world.RunUntil(kCalmTime + 50s);
+  world.mAccounts[0].mDemand = 100 * kFloodPart;
+  world.RunUntil(kCalmTime + 60s);
+  const auto breach = world.FindBreach();
+  INFO(breach.value_or(""));
+  CHECK_FALSE(breach.has_value());
+}
--- a/Tests/RateLimits/World.cpp
+++ b/Tests/RateLimits/World.cpp
@@ -22,6 +22,9 @@
 constexpr Duration kFarDelay = 12ms;
 constexpr Duration kRegionDelay = 1'400us;
 
+/// Fractions of tokens are added up in floating point.
+constexpr double kRounding = 1e-6;
+
 AccountId
 IdOfAccount(std::size_t aAccount)
 {
@@ -635,7 +638,7 @@
           allowed = std::max(allowed, OperationsInWindow(limit, mBounds));
         }
       }
-      allowed = allowed * (1 + mBounds.mOverage) + mBounds.mSlack;
+      allowed = allowed * (1 + mBounds.mOverage) + mBounds.mSlack + kRounding;
       if (static_cast<double>(last - first + 1) <= allowed) {
         continue;
       }
