--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -6,10 +6,13 @@
 #include <vector>
 
 #include "Backend/Admission.h"
+#include "Backend/LinkChoice.h"
 #include "Backend/Preparation.h"
 #include "Gateway/Tuning.h"
+#include "Session/Authorization.h"
 #include "Session/Execution.h"
 #include "Session/Routing.h"
+#include "Session/Sessions.h"
 
 namespace camphorstep::gateway {
 
@@ -96,7 +99,8 @@
   return aLink.mReady && !aLink.mSession && aLink.mExchanges.empty();
 }
 
-/// Finds the idle connection that needs the least preparation, or nullptr.
+/// Finds the idle connection of the session's account that needs the least
+/// preparation, or nullptr.
 Link*
 BestIdleLink(Context& aContext,
              const Backend& aBackend,
@@ -106,7 +110,8 @@
   int lowestCost = 0;
   for (const LinkId id : aBackend.mLinks) {
     Link* const link = Find(aContext.mState.mLinks, id);
-    if (link == nullptr || !IsIdle(*link)) {
+    if (link == nullptr || !IsIdle(*link) ||
+        link->mAccount != aSession.mAccount) {
       continue;
     }
     const int cost = PreparationCost(*link, aSession);
@@ -118,6 +123,148 @@
   return best;
 }
 
+bool
+HasIdleLink(const Context& aContext, const Backend& aBackend)
+{
+  return std::any_of(
+    aBackend.mLinks.begin(), aBackend.mLinks.end(), [&](LinkId aId) {
+      const Link* const link = Find(aContext.mState.mLinks, aId);
+      return link != nullptr && IsIdle(*link);
+    });
+}
+
+/// Whether a connection can be opened in an account's name. A session's account
+/// may have been removed since its statement was queued.
+bool
+CanOpenFor(const Context& aContext, AccountId aAccount)
+{
+  const auto& accounts = aContext.mState.mCatalogue.mAccounts;
+  return !aAccount || (accounts && FindAccount(*accounts, aAccount) != nullptr);
+}
+
+/// Returns an account's name; empty for connections that belong to none.
+std::string
+NameOfAccount(const Context& aContext, AccountId aAccount)
+{
+  const auto& accounts = aContext.mState.mCatalogue.mAccounts;
+  const ClientAccount* const account =
+    accounts ? FindAccount(*accounts, aAccount) : nullptr;
+  return account == nullptr ? "" : account->mName;
+}
+
+/// Returns the entry of an account, or nullptr if there is none.
+LinkDemand*
+FindDemand(std::vector<LinkDemand>& aDemands, AccountId aAccount)
+{
+  const auto it = std::find_if(
+    aDemands.begin(), aDemands.end(), [&](const LinkDemand& aDemand) {
+      return aDemand.mAccount == aAccount;
+    });
+  return it == aDemands.end() ? nullptr : &*it;
+}
+
+/// The waiting statements by account, in the order of the queue.
+std::vector<LinkDemand>
+CountDemands(const Context& aContext, const Backend& aBackend)
+{
+  if (!aContext.mState.mCatalogue.mAccounts) {
+    return { { AccountId{},
+               static_cast<std::uint32_t>(aBackend.mQueue.size()),
+               0,
+               Instant{} } };
+  }
+  std::vector<LinkDemand> demands;
+  for (const auto& [place, id] : aBackend.mQueue) {
+    const Session* const session = Find(aContext.mState.mSessions, id);
+    if (session == nullptr || !session->mActive) {
+      continue;
+    }
+    LinkDemand* demand = FindDemand(demands, session->mAccount);
+    if (demand == nullptr) {
+      demands.push_back(
+        { session->mAccount, 0, 0, session->mActive->mArrivedAt });
+      demand = &demands.back();
+    }
+    ++demand->mWaiting;
+  }
+  return demands;
+}
+
+/// The idle connections to a server.
+std::vector<IdleLink>
+FindIdleLinks(const Context& aContext, const Backend& aBackend)
+{
+  std::vector<IdleLink> idle;
+  for (const LinkId id : aBackend.mLinks) {
+    const Link* const link = Find(aContext.mState.mLinks, id);
+    if (link != nullptr && IsIdle(*link)) {
+      idle.push_back({ id, link->mAccount, link->mIdleSince });
+    }
+  }
+  return idle;
+}
+
+/// Subtracts the connections that accounts have at hand, and notes those that
+/// are being opened for them.
+void
+NoteConnections(const Context& aContext,
+                const Backend& aBackend,
+                std::vector<LinkDemand>& aDemands,
+                std::vector<IdleLink>& aIdleLinks)
+{
+  for (IdleLink& link : aIdleLinks) {
+    LinkDemand* const demand = FindDemand(aDemands, link.mAccount);
+    link.mIsWanted = demand != nullptr && demand->mWaiting > 0;
+    if (link.mIsWanted) {
+      --demand->mWaiting;
+    }
+  }
+  for (const LinkId id : aBackend.mLinks) {
+    const Link* const link = Find(aContext.mState.mLinks, id);
+    LinkDemand* const demand =
+      link == nullptr ? nullptr : FindDemand(aDemands, link->mAccount);
+    if (demand != nullptr && !link->mReady) {
+      ++demand->mOpening;
+    }
+  }
+  std::erase_if(aDemands, [&](const LinkDemand& aDemand) {
+    return !CanOpenFor(aContext, aDemand.mAccount);
+  });
+}
+
+/// Whether a connection can be opened without closing another one.
+bool
+HasRoom(const Context& aContext, const Backend& aBackend)
+{
+  return aBackend.mLinks.empty() ||
+         (aBackend.mLinks.size() < LinkLimit(aContext, aBackend) &&
+          !IsFull(aContext, aBackend));
+}
+
+/// Makes room for one more connection, by closing an idle one of another
+/// account if the server has hardly any left. Returns false if there is none.
+bool
+MakeRoom(Context& aContext,
+         Backend& aBackend,
+         const LinkDemand& aDemand,
+         std::vector<IdleLink>& aIdleLinks)
+{
+  const bool hasRoom = HasRoom(aContext, aBackend);
+  if (hasRoom && UsedPercent(aContext, aBackend) < kVeryScarcePercent) {
+    return true;
+  }
+  const LinkId link = ChooseLinkToClose(aIdleLinks, aDemand, aContext.mNow);
+  if (!link) {
+    return hasRoom;
+  }
+  ++aContext.mState.mCounters.mLinksClosedForOthers;
+  DropLink(aContext, link);
+  std::erase_if(aIdleLinks,
+                [link](const IdleLink& aIdle) { return aIdle.mLink == link; });
+  return true;
+}
+
+/// Opens connections for statements that have none of their account.
 void
 OpenQueuedLinks(Context& aContext, Backend& aBackend)
 {
@@ -126,15 +273,79 @@
       TimerKind::Pool, aBackend.mId.mValue, aBackend.mOpenAfter);
     return;
   }
-  const std::uint32_t limit = LinkLimit(aContext, aBackend);
-  while (aBackend.mOpening < kMaxOpening &&
-         aBackend.mOpening < aBackend.mQueue.size() &&
-         aBackend.mLinks.size() < limit &&
-         (aBackend.mLinks.empty() || !IsFull(aContext, aBackend))) {
-    OpenLinkTo(aContext, aBackend, false);
+  if (aBackend.mOpening >= kMaxOpening) {
+    return;
+  }
+  std::vector<IdleLink> idle = FindIdleLinks(aContext, aBackend);
+  if (idle.empty() && !HasRoom(aContext, aBackend)) {
+    return;
+  }
+  std::vector<LinkDemand> demands = CountDemands(aContext, aBackend);
+  NoteConnections(aContext, aBackend, demands, idle);
+  while (aBackend.mOpening < kMaxOpening) {
+    LinkDemand* const next = NextOpening(demands);
+    if (next == nullptr || !MakeRoom(aContext, aBackend, *next, idle)) {
+      return;
+    }
+    OpenLinkTo(aContext, aBackend, false, next->mAccount);
+    ++next->mOpening;
   }
 }
 
+/// What became of an attempt to start one of the statements that wait.
+enum class StartAttempt : std::uint8_t
+{
+  /// One was started, or left the queue.
+  Made,
+  /// The server is given no more for the moment, or nothing waits.
+  None,
+  /// At least one has no connection of its account, and none can start.
+  LinkMissing,
+};
+
+/// Starts the first statement in the queue whose account has an idle
+/// connection.
+StartAttempt
+StartNextStatement(Context& aContext, Backend& aBackend)
+{
+  StartAttempt attempt = StartAttempt::None;
+  std::vector<AccountId> withoutLink;
+  for (auto it = aBackend.mQueue.begin(); it != aBackend.mQueue.end(); ++it) {
+    Session* const session = Find(aContext.mState.mSessions, it->second);
+    if (session == nullptr || !session->mActive) {
+      aBackend.mQueue.erase(it);
+      return StartAttempt::Made;
+    }
+    if (std::find(withoutLink.begin(), withoutLink.end(), session->mAccount) !=
+        withoutLink.end()) {
+      continue;
+    }
+    if (aBackend.mRunning >=
+        RunningLimit(aContext, aBackend, it->first.mUrgency)) {
+      return attempt;
+    }
+    if (Link* const link = BestIdleLink(aContext, aBackend, *session)) {
+      aBackend.mQueue.erase(it);
+      RecordStart(aBackend.mPace, aContext.mNow, !aBackend.mQueue.empty());
+      StartOnLink(aContext, *session, *link);
+      return StartAttempt::Made;
+    }
+    if (!CanOpenFor(aContext, session->mAccount)) {
+      const SessionId id = session->mId;
+      if (!AuthorizeActive(aContext, *session)) {
+        ContinueSession(aContext, id);
+      }
+      return StartAttempt::Made;
+    }
+    attempt = StartAttempt::LinkMissing;
+    if (!HasIdleLink(aContext, aBackend)) {
+      return attempt;
+    }
+    withoutLink.push_back(session->mAccount);
+  }
+  return attempt;
+}
+
 bool
 CountsAsRunning(ExchangeKind aKind)
 {
@@ -146,14 +357,7 @@
 bool
 HasFreeConnection(const Context& aContext, const Backend& aBackend)
 {
-  if (!IsFull(aContext, aBackend)) {
-    return true;
-  }
-  return std::any_of(
-    aBackend.mLinks.begin(), aBackend.mLinks.end(), [&](LinkId aId) {
-      const Link* const link = Find(aContext.mState.mLinks, aId);
-      return link != nullptr && IsIdle(*link);
-    });
+  return !IsFull(aContext, aBackend) || HasIdleLink(aContext, aBackend);
 }
 
 Proximity
@@ -232,25 +436,12 @@
 void
 DispatchQueue(Context& aContext, Backend& aBackend)
 {
-  while (!aBackend.mQueue.empty()) {
-    const auto it = aBackend.mQueue.begin();
-    if (aBackend.mRunning >=
-        RunningLimit(aContext, aBackend, it->first.mUrgency)) {
-      return;
-    }
-    Session* const session = Find(aContext.mState.mSessions, it->second);
-    if (session == nullptr || !session->mActive) {
-      aBackend.mQueue.erase(it);
-      continue;
-    }
-    Link* const link = BestIdleLink(aContext, aBackend, *session);
-    if (link == nullptr) {
-      OpenQueuedLinks(aContext, aBackend);
-      return;
-    }
-    aBackend.mQueue.erase(it);
-    RecordStart(aBackend.mPace, aContext.mNow, !aBackend.mQueue.empty());
-    StartOnLink(aContext, *session, *link);
+  StartAttempt attempt = StartAttempt::Made;
+  while (attempt == StartAttempt::Made) {
+    attempt = StartNextStatement(aContext, aBackend);
+  }
+  if (attempt == StartAttempt::LinkMissing) {
+    OpenQueuedLinks(aContext, aBackend);
   }
 }
 
@@ -267,12 +458,16 @@
 }
 
 LinkId
-OpenLinkTo(Context& aContext, Backend& aBackend, bool aControl)
+OpenLinkTo(Context& aContext,
+           Backend& aBackend,
+           bool aControl,
+           AccountId aAccount)
 {
   Link link;
   link.mId = NewId<LinkId>(aContext);
   link.mServer = aBackend.mId;
   link.mControl = aControl;
+  link.mAccount = aAccount;
   link.mOpenedAt = aContext.mNow;
   if (aControl) {
     aBackend.mControlLink = link.mId;
@@ -287,7 +482,8 @@
        OpenLink{ link.mId,
                  aBackend.mEntry.mAddress,
                  aBackend.mEntry.mGroup,
-                 aBackend.mEntry.mName });
+                 aBackend.mEntry.mName,
+                 NameOfAccount(aContext, aAccount) });
   const LinkId id = link.mId;
   aContext.mState.mLinks.emplace(id, std::move(link));
   return id;
--- a/Source/Backend/Pool.h
+++ b/Source/Backend/Pool.h
@@ -22,8 +22,12 @@
 /// Sends everything that waits at a server to find another one.
 void RerouteQueue(Context& aContext, Backend& aBackend);
 
-/// Opens a connection to a server.
-LinkId OpenLinkTo(Context& aContext, Backend& aBackend, bool aControl);
+/// Opens a connection to a server, in the name of a client account if one is
+/// given.
+LinkId OpenLinkTo(Context& aContext,
+                  Backend& aBackend,
+                  bool aControl,
+                  AccountId aAccount = {});
 
 /// Gives a connection back to the pool, or closes it if its server is to get
 /// no new work.
--- a/Source/Catalogue/CatalogueState.h
+++ b/Source/Catalogue/CatalogueState.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "Accounts/AccountTable.h"
 #include "Common/Time.h"
 #include "Gateway/Ids.h"
 #include "Gateway/StoreRecord.h"
@@ -41,6 +42,11 @@
   std::uint64_t mRoutingVersion = 0;
   Duration mTransactionIdleTimeout{ 10'000'000 };
   std::unordered_map<std::string, Route> mRoutes;
+  /// The client accounts; none if the deployment has none.
+  std::optional<AccountTable> mAccounts;
+  /// Whether callers with a key are refused because the operator's table has
+  /// not been confirmed for too long.
+  bool mIsOutOfDate = false;
   std::map<std::string, HostEntry> mHosts;
   /// The call that writes this host's entry.
   CallId mRegisterCall;
--- a/Source/Catalogue/Peers.cpp
+++ b/Source/Catalogue/Peers.cpp
@@ -18,6 +18,9 @@
   RoutingVersion routing;
   routing.mVersion = catalogue.mRoutingVersion;
   routing.mTransactionIdleTimeout = catalogue.mTransactionIdleTimeout;
+  if (catalogue.mAccounts) {
+    routing.mAccountRules = catalogue.mAccounts->mRules;
+  }
   for (const auto& [name, route] : catalogue.mRoutes) {
     routing.mRoutes.push_back(route);
   }
--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -34,12 +34,23 @@
   Duration mFollower;
 };
 
+/// Half of the time after which a configuration is out of date; no limit if it
+/// never is.
+Duration
+MaxConfirmationAge(const Context& aContext)
+{
+  const Duration timeout = aContext.mState.mSelf.mRevokeTimeout;
+  return timeout == Duration{ 0 } ? Duration::max() : timeout / 2;
+}
+
 AgeLimits
-AgeLimitsOf(Table aTable)
+AgeLimitsOf(const Context& aContext, Table aTable)
 {
+  const Duration most = MaxConfirmationAge(aContext);
   switch (aTable) {
     case Table::Operator:
-      return { 1'800ms, 2'300ms };
+      return { std::min<Duration>(1'800ms, most),
+               std::min<Duration>(2'300ms, most) };
     case Table::Servers:
       return { 2'500ms, 3'500ms };
     case Table::Fleet:
@@ -82,7 +93,7 @@
   if (HoldsPromoterLease(aContext) || !HasResponsiveSource(aContext)) {
     return aContext.mNow + PollInterval(aContext, aTable);
   }
-  const AgeLimits limits = AgeLimitsOf(aTable);
+  const AgeLimits limits = AgeLimitsOf(aContext, aTable);
   return aProgress.mConfirmedAt +
          (IsFollower(aContext) ? limits.mFollower : limits.mSource);
 }
@@ -105,12 +116,25 @@
 /// Whether the table had not been confirmed for so long that entries in it
 /// may have lapsed meanwhile.
 bool
-WasUnavailable(const TableProgress& aProgress,
+WasUnavailable(const Context& aContext,
+               const TableProgress& aProgress,
                Table aTable,
                Instant aConfirmedAt)
 {
-  return aProgress.mFailures > 0 ||
-         aConfirmedAt - aProgress.mConfirmedAt > AgeLimitsOf(aTable).mFollower;
+  return aProgress.mFailures > 0 || aConfirmedAt - aProgress.mConfirmedAt >
+                                      AgeLimitsOf(aContext, aTable).mFollower;
+}
+
+/// How long the store may hold a call that waits for a change. Where the
+/// configuration can be out of date, its confirmations have to be fresh.
+Duration
+WatchTimeout(const Context& aContext)
+{
+  constexpr int kWatchesPerRevokeTimeout = 10;
+  const Duration timeout = aContext.mState.mSelf.mRevokeTimeout;
+  return timeout == Duration{ 0 }
+           ? kTableWatchTimeout
+           : std::min(kTableWatchTimeout, timeout / kWatchesPerRevokeTimeout);
 }
 
 Duration
@@ -194,6 +218,16 @@
            .mConfirmedAt >= aTime;
 }
 
+Confirmation
+ConfirmationOfRouting(const Context& aContext)
+{
+  const TableProgress& progress =
+    aContext.mState.mCatalogue
+      .mTables[static_cast<std::size_t>(Table::Operator)];
+  return { aContext.mNow - progress.mConfirmedAt,
+           aContext.mState.mSelf.mRevokeTimeout };
+}
+
 bool
 IsTableFailing(const Context& aContext, Table aTable)
 {
@@ -241,7 +275,7 @@
        WatchTable{ progress.mCall,
                    aTable,
                    progress.mVersion,
-                   isLongPoll ? kTableWatchTimeout : Duration{ 0 } });
+                   isLongPoll ? WatchTimeout(aContext) : Duration{ 0 } });
 }
 
 void
@@ -334,7 +368,7 @@
               Instant aAt)
 {
   TableProgress& progress = ProgressOf(aContext, aTable);
-  const bool wasUnavailable = WasUnavailable(progress, aTable, aAt);
+  const bool wasUnavailable = WasUnavailable(aContext, progress, aTable, aAt);
   // Another host may report what it learned before this host's call failed.
   const bool answersAgain =
     progress.mFailures > 0 && aAt >= progress.mFailedCallAt;
--- a/Source/Catalogue/Tables.h
+++ b/Source/Catalogue/Tables.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Accounts/Access.h"
 #include "Gateway/Context.h"
 #include "Gateway/Event.h"
 
@@ -13,6 +14,9 @@
                            Table aTable,
                            Instant aTime);
 
+/// How far the routes and client accounts in force can be relied on.
+Confirmation ConfirmationOfRouting(const Context& aContext);
+
 /// Whether the last call for a table failed; it is repeated after a delay.
 bool IsTableFailing(const Context& aContext, Table aTable);
 
--- a/Source/Gateway/Counters.h
+++ b/Source/Gateway/Counters.h
@@ -19,6 +19,17 @@
   LatencyHistogram mLatency;
 };
 
+/// Callers that were refused for their key.
+struct RefusalCounters
+{
+  /// No account has the key.
+  std::uint64_t mUnknownKey = 0;
+  /// The key belongs to another account than when the operation began.
+  std::uint64_t mOtherAccount = 0;
+  /// The configuration was out of date.
+  std::uint64_t mOutOfDate = 0;
+};
+
 /// Monotonic counters, exported as metrics.
 struct Counters
 {
@@ -44,6 +55,11 @@
   /// primary.
   std::uint64_t mCommitsUnproved = 0;
   std::uint64_t mStoreCalls = 0;
+  RefusalCounters mRefusedSessions;
+  RefusalCounters mRefusedStatements;
+  /// Idle connections that were closed so that another client account could
+  /// open one.
+  std::uint64_t mLinksClosedForOthers = 0;
 };
 
 }
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -103,6 +103,8 @@
   std::unordered_map<std::string, std::string> mRegions;
   /// How long a planned stop may take before the process is killed.
   Duration mStopGrace{ 0 };
+  /// See Identity::mRevokeTimeout.
+  Duration mRevokeTimeout{ 0 };
 };
 
 /// The process has been asked to stop.
--- a/Source/Gateway/PeerMessage.h
+++ b/Source/Gateway/PeerMessage.h
@@ -137,6 +137,42 @@
   }
 };
 
+namespace detail {
+
+/// The configuration that tables bring, or nullptr if they bring none.
+inline RoutingVersion*
+FindRouting(std::vector<TableReport>& aTables)
+{
+  for (TableReport& table : aTables) {
+    if (table.mContent && table.mContent->mRouting) {
+      return &*table.mContent->mRouting;
+    }
+  }
+  return nullptr;
+}
+
+/// Archives the client accounts at the end of a report. Nothing is written for
+/// a deployment that has none, so that its hosts exchange the same bytes as
+/// those that know no accounts.
+template<typename Archive>
+void
+ArchiveAccountRules(Archive& aArchive, std::vector<TableReport>& aTables)
+{
+  RoutingVersion* const routing = FindRouting(aTables);
+  if constexpr (Archive::is_saving::value) {
+    if (routing != nullptr && routing->mAccountRules) {
+      aArchive(routing->mAccountRules);
+    }
+  } else if (aArchive.Left() != 0) {
+    if (routing == nullptr) {
+      throw cereal::Exception("accounts without a configuration");
+    }
+    aArchive(routing->mAccountRules);
+  }
+}
+
+}
+
 /// The answer to a query: the statuses, tables and lease known to a host.
 struct PeerReport
 {
@@ -159,6 +195,7 @@
     ArchivePacked(aArchive, mHeld);
     ArchivePacked(aArchive, mSequence);
     aArchive(mIsPromoter, mServers, mTables, mLease);
+    detail::ArchiveAccountRules(aArchive, mTables);
   }
 };
 
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -11,6 +11,7 @@
 #include "Fleet/FleetState.h"
 #include "Gateway/Counters.h"
 #include "Gateway/Ids.h"
+#include "Gateway/LogLimit.h"
 #include "Gateway/Timers.h"
 #include "Group/GroupState.h"
 #include "Session/SessionState.h"
@@ -25,6 +26,9 @@
   std::unordered_map<std::string, std::string> mRegions;
   /// How long a planned stop may take before the process is killed.
   Duration mStopGrace{ 6'000'000 };
+  /// Callers with a key are refused once the configuration has not been
+  /// confirmed for this long; zero turns that off.
+  Duration mRevokeTimeout{ 0 };
 };
 
 /// The progress of a planned stop.
@@ -58,6 +62,9 @@
   PromoterState mPromoter;
   FleetState mFleet;
   Counters mCounters;
+  /// Limits the log records on callers that are refused for their key.
+  LogLimit mRefusedSessionLog;
+  LogLimit mRefusedStatementLog;
 };
 
 }
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -7,6 +7,7 @@
 #include "Fleet/Following.h"
 #include "Fleet/Reports.h"
 #include "Gateway/Context.h"
+#include "Gateway/Readiness.h"
 #include "Gateway/Stopping.h"
 #include "Gateway/Tuning.h"
 #include "Group/Promoter.h"
@@ -78,6 +79,8 @@
   {
     mContext.mState.mSelf.mRegions = aEvent.mRegions;
     mContext.mState.mSelf.mStopGrace = aEvent.mStopGrace;
+    mContext.mState.mSelf.mRevokeTimeout = aEvent.mRevokeTimeout;
+    UpdateReadiness(mContext);
   }
   void operator()(const StopRequested&) const { BeginStop(mContext); }
   void operator()(const TimePassed&) const {}
@@ -122,6 +125,9 @@
     case TimerKind::SendPeerReports:
       AnswerPendingQueries(aContext);
       break;
+    case TimerKind::ConfigurationAge:
+      UpdateReadiness(aContext);
+      break;
     case TimerKind::Stop:
       ContinueStop(aContext);
       break;
--- a/Source/Gateway/Timers.h
+++ b/Source/Gateway/Timers.h
@@ -28,6 +28,8 @@
   PromoterLease,
   QueryPeer,
   SendPeerReports,
+  /// The configuration is out of date unless it is confirmed sooner.
+  ConfigurationAge,
   Stop,
 };
 
--- a/Source/Model/ResultCode.h
+++ b/Source/Model/ResultCode.h
@@ -59,6 +59,7 @@
   InvalidProfile = 502,
   StoreUnavailable = 503,
   NoConfiguration = 504,
+  ConfigurationStale = 505,
 
   InvalidSettings = 601,
 };
--- a/Source/Session/Answers.cpp
+++ b/Source/Session/Answers.cpp
@@ -17,7 +17,7 @@
   ResultCode::Overloaded,         ResultCode::TransactionAborted,
   ResultCode::ReplicaBehind,      ResultCode::PrimaryChanged,
   ResultCode::NoPrimary,          ResultCode::Stopping,
-  ResultCode::TooManyConnections,
+  ResultCode::TooManyConnections, ResultCode::ConfigurationStale,
 };
 
 Rank
--- a/Source/Session/Execution.cpp
+++ b/Source/Session/Execution.cpp
@@ -6,7 +6,9 @@
 #include "Backend/Preparation.h"
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
+#include "Session/Authorization.h"
 #include "Session/Routing.h"
+#include "Session/Sessions.h"
 #include "Session/Transactions.h"
 
 namespace camphorstep::gateway {
@@ -71,6 +73,9 @@
 void
 RunActiveStatement(Context& aContext, Session& aSession)
 {
+  if (!AuthorizeActive(aContext, aSession)) {
+    return;
+  }
   const LinkId pinned = aSession.mTransaction.mLink;
   if (!pinned) {
     RouteStatement(aContext, aSession);
@@ -84,6 +89,11 @@
 void
 StartOnLink(Context& aContext, Session& aSession, Link& aLink)
 {
+  const SessionId id = aSession.mId;
+  if (!AuthorizeActive(aContext, aSession)) {
+    ContinueSession(aContext, id);
+    return;
+  }
   Backend* const backend = Find(aContext.mState.mBackends, aLink.mServer);
   Group* const group = Find(aContext.mState.mGroups, backend->mGroup);
   aSession.mActive->mStage = StatementStage::AwaitingServer;
@@ -117,6 +127,7 @@
   if (session != nullptr && session->mActive &&
       session->mActive->mStage == StatementStage::AwaitingRetry) {
     RunActiveStatement(aContext, *session);
+    ContinueSession(aContext, aSession);
   }
 }
 
--- a/Source/Session/Outcomes.cpp
+++ b/Source/Session/Outcomes.cpp
@@ -245,7 +245,9 @@
   }
   if (aReply.mCode == ResultCode::Ok &&
       aReply.mState == TransactionState::Open) {
+    const SessionId id = session->mId;
     RunActiveStatement(aContext, *session);
+    ContinueSession(aContext, id);
     return;
   }
   if (Backend* const backend = Find(aContext.mState.mBackends, aLink.mServer)) {
--- a/Source/Session/SessionState.h
+++ b/Source/Session/SessionState.h
@@ -82,6 +82,8 @@
   std::uint32_t mStatements = 0;
   /// The route at its beginning, used until its end.
   std::optional<Route> mRoute;
+  /// Whether that route needs no key.
+  bool mIsPublic = false;
   /// The connection reserved for it; none before its first statement.
   LinkId mLink;
   /// Whether no answer has reported yet that the transaction was aborted.
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -7,6 +7,7 @@
 #include "Gateway/Stopping.h"
 #include "Gateway/Tuning.h"
 #include "Session/Answers.h"
+#include "Session/Authorization.h"
 #include "Session/Execution.h"
 #include "Session/Routing.h"
 #include "Session/Transactions.h"
@@ -161,6 +162,7 @@
   aContext.mState.mTimers.Cancel(TimerKind::IdleTransaction,
                                  aSession.mId.mValue);
   if (RejectByTransactionState(aContext, aSession, aStatement) ||
+      !AuthorizeStatement(aContext, aSession, aStatement) ||
       AnswerLocally(aContext, aSession, aStatement)) {
     return;
   }
@@ -202,6 +204,10 @@
   session.mId = aEvent.mSession;
   session.mIdleSince = aContext.mNow;
   session.mDatabase = aEvent.mDatabase;
+  session.mKey = aEvent.mKey;
+  if (!AuthorizeSession(aContext, session)) {
+    return;
+  }
   aContext.mState.mSessions.emplace(session.mId, std::move(session));
   ++aContext.mState.mCounters.mSessions;
   Emit(aContext, AcceptSession{ aEvent.mSession });
--- a/Source/Session/Transactions.cpp
+++ b/Source/Session/Transactions.cpp
@@ -2,6 +2,7 @@
 
 #include "Backend/Pool.h"
 #include "Session/Answers.h"
+#include "Session/Authorization.h"
 #include "Session/Routing.h"
 
 namespace camphorstep::gateway {
@@ -35,6 +36,7 @@
   }
   transaction = Transaction{};
   transaction.mRoute = *route;
+  transaction.mIsPublic = IsOnPublicRoute(aContext, aSession);
   transaction.mState = TransactionState::Open;
   transaction.mReadOnly = aReadOnly;
   AnswerOk(aContext, aSession);
--- a/Source/Settings/GatewaySettings.cpp
+++ b/Source/Settings/GatewaySettings.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::string_view kDataCentrePrefix = "data_centre.";
 constexpr std::int64_t kMaxGraceMs = 600'000;
+constexpr std::int64_t kMaxRevokeMs = 86'400'000;
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1'000.0;
 
@@ -34,6 +35,9 @@
     aSettings.mMetricsAddress = RequireAddress(reader, "metrics");
   } else if (aSection.mName == "stop") {
     reader.ReadMilliseconds("grace_ms", aSettings.mStopGrace, 1, kMaxGraceMs);
+  } else if (aSection.mName == "accounts") {
+    reader.ReadMilliseconds(
+      "revoke_ms", aSettings.mRevokeTimeout, 0, kMaxRevokeMs);
   } else if (aSection.mName == "platform") {
     aSettings.mStoreAddress = RequireAddress(reader, "store");
     aSettings.mPromotionAddress = RequireAddress(reader, "promotions");
--- a/Source/Settings/GatewaySettings.h
+++ b/Source/Settings/GatewaySettings.h
@@ -28,6 +28,11 @@
   /// How long a stop may take before the process is killed.
   Duration mStopGrace{ 6'000'000 };
 
+  // [accounts]
+  /// Callers with a key are refused once the configuration has not been
+  /// confirmed for this long; zero turns that off.
+  Duration mRevokeTimeout{ 0 };
+
   // [platform]
   Address mStoreAddress;
   Address mPromotionAddress;
--- a/Source/Shell/GatewayMetrics.cpp
+++ b/Source/Shell/GatewayMetrics.cpp
@@ -43,6 +43,16 @@
   return family;
 }
 
+std::vector<MetricSample>
+RefusalSamples(const gateway::RefusalCounters& aCounters)
+{
+  return {
+    { { { "reason", "unknown key" } }, aCounters.mUnknownKey },
+    { { { "reason", "key of another account" } }, aCounters.mOtherAccount },
+    { { { "reason", "configuration out of date" } }, aCounters.mOutOfDate },
+  };
+}
+
 /// Counters without labels.
 std::vector<prometheus::MetricFamily>
 PlainCounters(const gateway::Counters& aCounters)
@@ -81,6 +91,16 @@
       "Commits whose answer was not passed on, by reason.",
       { { { { "reason", "term ended" } }, aCounters.mCommitsOfEndedTerm },
         { { { "reason", "no evidence" } }, aCounters.mCommitsUnproved } }),
+    MakeCounter("camphorstep_sessions_refused_total",
+                "Sessions that were refused for the caller's key, by reason.",
+                RefusalSamples(aCounters.mRefusedSessions)),
+    MakeCounter("camphorstep_statements_refused_total",
+                "Statements that were refused for the caller's key, by reason.",
+                RefusalSamples(aCounters.mRefusedStatements)),
+    MakeCounter("camphorstep_server_connections_replaced_total",
+                "Idle connections that were closed so that another client "
+                "account could open one.",
+                { { {}, aCounters.mLinksClosedForOthers } }),
     MakeCounter("camphorstep_store_calls_total",
                 "Calls to the platform's store.",
                 { { {}, aCounters.mStoreCalls } }),
@@ -94,6 +114,16 @@
     MakeGauge("camphorstep_configuration_version",
               "The configuration in force.",
               { { {}, aState.mCatalogue.mRoutingVersion } }),
+    MakeGauge("camphorstep_client_accounts",
+              "The client accounts in force.",
+              { { {},
+                  aState.mCatalogue.mAccounts
+                    ? aState.mCatalogue.mAccounts->mRules.mAccounts.size()
+                    : 0 } }),
+    MakeGauge("camphorstep_configuration_out_of_date",
+              "Whether callers with a key are refused because the "
+              "configuration has not been confirmed in time.",
+              { { {}, aState.mCatalogue.mIsOutOfDate ? 1U : 0U } }),
     MakeGauge("camphorstep_open_sessions",
               "Sessions that callers hold.",
               { { {}, aState.mSessions.size() } }),
--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -61,6 +61,7 @@
                                                     kThousandths) };
   state.mSelf.mRegions = aSettings.mRegions;
   state.mSelf.mStopGrace = aSettings.mStopGrace;
+  state.mSelf.mRevokeTimeout = aSettings.mRevokeTimeout;
   return state;
 }
 
@@ -210,8 +211,8 @@
     mSettings = settings;
     mAdapter->ChangeSettings(mSettings);
     WriteLog(LogLevel::Info, "settings reloaded");
-    Deliver(
-      gateway::SettingsChanged{ mSettings.mRegions, mSettings.mStopGrace });
+    Deliver(gateway::SettingsChanged{
+      mSettings.mRegions, mSettings.mStopGrace, mSettings.mRevokeTimeout });
   } catch (const std::exception& ex) {
     WriteLog(LogLevel::Error,
              "settings were not reloaded; the former ones stay in force",
--- a/Tests/Gateway/Follower.h
+++ b/Tests/Gateway/Follower.h
@@ -49,6 +49,7 @@
       TableReport news;
       news.mTable = static_cast<Table>(n);
       news.mVersion = mState.mCatalogue.mTables.at(n).mVersion;
+      news.mAge = mConfirmationAge;
       report.mTables.push_back(news);
     }
     return report;
@@ -74,6 +75,8 @@
     }
   }
 
+  /// How long ago the store confirmed the tables of the source.
+  Duration mConfirmationAge{ 0 };
   std::optional<PeerQuery> mQuery;
   Instant mAskedAt;
 };
--- a/Tests/Gateway/GatewayDriver.cpp
+++ b/Tests/Gateway/GatewayDriver.cpp
@@ -78,10 +78,29 @@
                       MakeRoute("own", Freshness::ReadYourWrites, 1500ms) };
   routing.mGroups = { { "group", 20 } };
   routing.mTransactionIdleTimeout = 2s;
+  routing.mAccountRules = mAccountRules;
   answer.mRouting = routing;
   Deliver(answer);
 }
 
+void
+GatewayDriver::PublishAccounts(std::uint64_t aVersion, AccountRules aRules)
+{
+  mAccountRules = std::move(aRules);
+  Publish(aVersion);
+}
+
+void
+GatewayDriver::ConfirmConfiguration()
+{
+  TableAnswer answer;
+  answer.mCall = mState.mCatalogue.mTables[0].mCall;
+  answer.mTable = Table::Operator;
+  answer.mOutcome = CallOutcome::Ok;
+  answer.mVersion = mStoreVersion;
+  Deliver(answer);
+}
+
 void
 GatewayDriver::ListServers()
 {
@@ -175,6 +194,7 @@
 GatewayDriver::OpenLinks()
 {
   while (const auto open = Take<OpenLink>()) {
+    mLinkAccounts[open->mLink] = open->mAccount;
     const FakeServer& server = Server(open->mServer);
     const bool isControl = Find(mState.mLinks, open->mLink)->mControl;
     if (server.mIsFull && !isControl) {
@@ -230,9 +250,11 @@
 }
 
 void
-GatewayDriver::OpenSession(std::uint64_t aSession, const std::string& aDatabase)
+GatewayDriver::OpenSession(std::uint64_t aSession,
+                           const std::string& aDatabase,
+                           const std::string& aKey)
 {
-  Deliver(SessionOpened{ SessionId{ aSession }, aDatabase });
+  Deliver(SessionOpened{ SessionId{ aSession }, aDatabase, DigestKey(aKey) });
   while (Take<AcceptSession>()) {
   }
 }
@@ -293,6 +315,13 @@
            : mState.mBackends.at(link->second.mServer).mEntry.mName;
 }
 
+std::string
+GatewayDriver::AccountOf(LinkId aLink) const
+{
+  const auto it = mLinkAccounts.find(aLink);
+  return it == mLinkAccounts.end() ? "" : it->second;
+}
+
 void
 GatewayDriver::BreakLink(LinkId aLink)
 {
--- a/Tests/Gateway/GatewayDriver.h
+++ b/Tests/Gateway/GatewayDriver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -63,8 +64,17 @@
   /// Lets time pass while the servers answer.
   void Run(Duration aTime);
 
-  /// Opens a session and forgets the effects of doing so.
-  void OpenSession(std::uint64_t aSession, const std::string& aDatabase);
+  /// Publishes client accounts with the routes.
+  void PublishAccounts(std::uint64_t aVersion, AccountRules aRules);
+
+  /// Has the store answer the watch of the operator's table with nothing new.
+  void ConfirmConfiguration();
+
+  /// Opens a session, with a key if one is given, and forgets the effects of
+  /// doing so.
+  void OpenSession(std::uint64_t aSession,
+                   const std::string& aDatabase,
+                   const std::string& aKey = "");
 
   void Send(std::uint64_t aSession,
             StatementKind aKind,
@@ -86,6 +96,9 @@
   /// The name of the server at a connection's other end.
   std::string ServerOf(LinkId aLink) const;
 
+  /// The account in whose name a connection was opened.
+  std::string AccountOf(LinkId aLink) const;
+
   /// Breaks a connection.
   void BreakLink(LinkId aLink);
 
@@ -120,6 +133,10 @@
   bool mReadsServers = false;
   /// The lists of copies in the store.
   std::vector<GroupCopies> mStoredCopies;
+  /// The client accounts that are published, if there are any.
+  std::optional<AccountRules> mAccountRules;
+  /// The accounts in whose names connections were opened.
+  std::map<LinkId, std::string> mLinkAccounts;
 
 private:
   std::optional<WatchTable> TakeWatch(Table aTable);
--- a/Tests/Gateway/PeerMessageTest.cpp
+++ b/Tests/Gateway/PeerMessageTest.cpp
@@ -3,6 +3,7 @@
 #include <limits>
 #include <string>
 
+#include "Accounts.h"
 #include "Gateway/PeerMessage.h"
 #include "Wire/Codec.h"
 
@@ -78,6 +79,45 @@
   }
 }
 
+TEST_CASE("Client accounts travel at the end of a report", "[PeerMessage]")
+{
+  PeerReport report = MakeReport();
+  TableReport news;
+  news.mTable = Table::Operator;
+  news.mContent.emplace();
+  news.mContent->mRouting.emplace();
+  news.mContent->mRouting->mVersion = 5;
+  report.mTables.push_back(news);
+  const std::string without = Encode(PeerMessage(report));
+  AccountRules rules = MakeRules();
+  rules.mAccounts[0].mRatePerSecond = 276;
+  rules.mAccounts[0].mBurst = 300;
+  report.mTables.back().mContent->mRouting->mAccountRules = rules;
+  const std::string with = Encode(PeerMessage(report));
+  // A deployment without accounts exchanges the same bytes as before.
+  CHECK(with.starts_with(without));
+  CHECK(with.size() > without.size());
+  CHECK(with.find("ka") == std::string::npos);
+  const auto message = Decode<PeerMessage>(with);
+  const auto& got = std::get<PeerReport>(message);
+  CHECK(got.mTables.back().mContent->mRouting->mAccountRules == rules);
+  const auto bare = Decode<PeerMessage>(without);
+  CHECK_FALSE(std::get<PeerReport>(bare)
+                .mTables.back()
+                .mContent->mRouting->mAccountRules);
+  for (std::size_t n = without.size() + 1; n < with.size(); ++n) {
+    CHECK_THROWS_AS(Decode<PeerMessage>(with.substr(0, n)), DecodeError);
+  }
+}
+
+TEST_CASE("Client accounts without a configuration are rejected",
+          "[PeerMessage]")
+{
+  const std::string bytes =
+    Encode(PeerMessage(MakeReport())) + Encode(std::optional(MakeRules()));
+  CHECK_THROWS_AS(Decode<PeerMessage>(bytes), DecodeError);
+}
+
 TEST_CASE("An unterminated packed number is rejected", "[PeerMessage]")
 {
   // The type of the message, then the first number of a query, every byte of
--- a/Tests/Platform/RowsTest.cpp
+++ b/Tests/Platform/RowsTest.cpp
@@ -90,6 +90,85 @@
   CHECK(answer.mRouting->mTransactionIdleTimeout == std::chrono::seconds(3));
 }
 
+namespace {
+
+/// A configuration with a public route and another one, and accounts if there
+/// are any.
+std::string
+ConfigWithAccounts(const std::string& aAccounts)
+{
+  const std::string route =
+    R"("Kind":"primary","TimeoutMs":1000,"TargetLatencyMs":500,)"
+    R"("Priority":2,"Service":"g","Host":)";
+  return Body(Row("config",
+                  R"({"Version":7,"Routes":[{"Public":true,)" + route +
+                    R"("open"},{"Public":false,)" + route +
+                    R"("closed"}],"Services":[])" + aAccounts + "}"));
+}
+
+}
+
+TEST_CASE("Client accounts are read, and their keys hashed", "[Rows]")
+{
+  TableAnswer answer;
+  ReadRows(ConfigWithAccounts(
+             R"(,"Tenants":[{"Name":"a","ApiKeys":["k1","k2"],"Priority":1,)"
+             R"("RatePerS":276,"Burst":300},{"Name":"b","ApiKeys":["k3"],)"
+             R"("RatePerS":1.5}])"),
+           answer);
+  REQUIRE(answer.mRouting);
+  REQUIRE(answer.mRouting->mAccountRules);
+  const AccountRules& rules = *answer.mRouting->mAccountRules;
+  REQUIRE(rules.mAccounts.size() == 2);
+  CHECK(rules.mAccounts[0].mName == "a");
+  CHECK(rules.mAccounts[0].mKeys ==
+        std::vector<KeyDigest>{ DigestKey("k1"), DigestKey("k2") });
+  CHECK(rules.mAccounts[0].mRatePerSecond == 276);
+  CHECK(rules.mAccounts[0].mBurst == 300);
+  CHECK(rules.mAccounts[1].mRatePerSecond == 2);
+  CHECK(rules.mAccounts[1].mBurst == 0);
+  CHECK(rules.mPublicDatabases == std::vector<std::string>{ "open" });
+}
+
+TEST_CASE("A configuration without client accounts has no rules for them",
+          "[Rows]")
+{
+  for (const char* const accounts : { "", R"(,"Tenants":null)" }) {
+    TableAnswer answer;
+    ReadRows(ConfigWithAccounts(accounts), answer);
+    REQUIRE(answer.mRouting);
+    CHECK_FALSE(answer.mRouting->mAccountRules);
+  }
+}
+
+TEST_CASE("A client account that cannot be read opens nothing", "[Rows]")
+{
+  TableAnswer answer;
+  ReadRows(ConfigWithAccounts(
+             R"(,"Tenants":[{"ApiKeys":["k1"]},{"Name":"two words","ApiKeys":)"
+             R"(["k2"]},{"Name":"a\r\nQUERY","ApiKeys":["k3"]},7,)"
+             R"({"Name":"b","ApiKeys":["",5,null,["k4"],"k5"],)"
+             R"("RatePerS":"many"},{"Name":"c"}])"),
+           answer);
+  REQUIRE(answer.mRouting);
+  CHECK(answer.mRouting->mRoutes.size() == 2);
+  REQUIRE(answer.mRouting->mAccountRules);
+  const AccountRules& rules = *answer.mRouting->mAccountRules;
+  REQUIRE(rules.mAccounts.size() == 2);
+  CHECK(rules.mAccounts[0].mName == "b");
+  CHECK(rules.mAccounts[0].mKeys == std::vector<KeyDigest>{ DigestKey("k5") });
+  CHECK(rules.mAccounts[1].mKeys.empty());
+}
+
+TEST_CASE("A list of client accounts that is none lets nobody in", "[Rows]")
+{
+  TableAnswer answer;
+  ReadRows(ConfigWithAccounts(R"(,"Tenants":"all")"), answer);
+  REQUIRE(answer.mRouting);
+  REQUIRE(answer.mRouting->mAccountRules);
+  CHECK(answer.mRouting->mAccountRules->mAccounts.empty());
+}
+
 TEST_CASE("Entries of the fleet survive the way through the store", "[Rows]")
 {
   const std::string host =
--- a/Tests/Platform/Standin/GroupStandin.cpp
+++ b/Tests/Platform/Standin/GroupStandin.cpp
@@ -104,6 +104,7 @@
   for (const auto& connection : server.mConnections) {
     connection->mLines->Socket().Close();
     connection->mPending.clear();
+    connection->mIsEnded = true;
   }
 }
 
@@ -227,6 +228,15 @@
   }
 }
 
+void
+GroupStandin::OnTimer()
+{
+  for (const auto& server : mServers) {
+    server->CollectEnded();
+  }
+  Advance();
+}
+
 GroupStandin::Server::Server(GroupStandin& aGroup,
                              cxxtools::SelectorBase& aLoop,
                              std::string aName,
@@ -272,10 +282,17 @@
       [this, connection](std::string_view aLine) {
         Handle(*connection, aLine);
       },
-      [](bool) {} });
+      [connection](bool) { connection->mIsEnded = true; } });
   connection->mLines->Socket().Accept(mLoop, aListener);
 }
 
+void
+GroupStandin::Server::CollectEnded()
+{
+  std::erase_if(mConnections,
+                [](const auto& aConnection) { return aConnection->mIsEnded; });
+}
+
 void
 GroupStandin::Server::Handle(Connection& aConnection, std::string_view aLine)
 {
@@ -283,7 +300,7 @@
   if (message.mWord == "STARTUP") {
     std::string_view rest = message.mRest;
     const std::string_view group = TakeField(rest);
-    TakeField(rest);
+    aConnection.mAccount = TakeField(rest);
     const bool good = group == mGroup.mName && (rest.empty() || rest == mName);
     aConnection.mStarted = good;
     aConnection.mLines->Socket().Append(
@@ -299,6 +316,9 @@
                                   std::string_view aFields)
 {
   const std::string id(TakeField(aFields));
+  if (id != "-" && mGroup.mOnStatement) {
+    mGroup.mOnStatement(id, aConnection.mAccount);
+  }
   const std::string answer = Run(aConnection, id, aFields);
   const std::string whole = answer + "READY " +
                             std::string(1, aConnection.mState) + " " +
--- a/Tests/Platform/Standin/GroupStandin.h
+++ b/Tests/Platform/Standin/GroupStandin.h
@@ -64,6 +64,9 @@
   std::vector<std::string> mViolations;
   /// Called with the log of a server that begins to lead.
   std::function<void(const std::map<std::string, std::string>&)> mOnLeading;
+  /// Called with the id of each statement of a caller that a server is sent,
+  /// and the account in whose name the connection was opened.
+  std::function<void(const std::string&, const std::string&)> mOnStatement;
 
 private:
   struct Server;
@@ -73,6 +76,10 @@
   {
     std::unique_ptr<platform::LineConnection> mLines;
     bool mStarted = false;
+    /// Whether the other side has ended it.
+    bool mIsEnded = false;
+    /// In whose name it was opened.
+    std::string mAccount;
     char mState = 'I';
     std::vector<std::pair<std::string, std::string>> mWrites;
     std::map<std::string, std::string> mValues;
@@ -93,6 +100,8 @@
 
     void OnPending(cxxtools::net::TcpServer& aListener);
     void Listen();
+    /// Frees connections that have ended.
+    void CollectEnded();
     void Handle(Connection& aConnection, std::string_view aLine);
     void HandleQuery(Connection& aConnection, std::string_view aFields);
     std::string Run(Connection& aConnection,
@@ -143,7 +152,7 @@
   /// servers that were replaced a second ago follow and servers lead whose
   /// time has come.
   void Advance();
-  void OnTimer() { Advance(); }
+  void OnTimer();
 
   cxxtools::Timer mTimer;
   std::string mName;
--- a/Tests/Platform/Standin/LocalGateway.cpp
+++ b/Tests/Platform/Standin/LocalGateway.cpp
@@ -23,7 +23,9 @@
 
 }
 
-LocalGateway::LocalGateway(std::uint16_t aFirstPort, std::uint16_t aSitePort)
+LocalGateway::LocalGateway(std::uint16_t aFirstPort,
+                           std::uint16_t aSitePort,
+                           std::chrono::milliseconds aRevokeTimeout)
   : mSettingsPath("camphorstep-" + std::to_string(aFirstPort) + ".ini")
 {
   std::ofstream out(mSettingsPath);
@@ -32,8 +34,9 @@
       << "\nreadiness = " << AddressText(aFirstPort + 1)
       << "\npeers = " << AddressText(aFirstPort + 2)
       << "\nmetrics = " << AddressText(aFirstPort + 3)
-      << "\n[stop]\ngrace_ms = 2000\n[platform]\nstore = "
-      << AddressText(aSitePort)
+      << "\n[stop]\ngrace_ms = 2000\n[accounts]\nrevoke_ms = "
+      << aRevokeTimeout.count()
+      << "\n[platform]\nstore = " << AddressText(aSitePort)
       << "\npromotions = " << AddressText(aSitePort + 1)
       << "\n[data_centre.a]\nregion = r\n";
   out.close();
@@ -49,11 +52,13 @@
   std::remove(mSettingsPath.c_str());
 }
 
-Caller::Caller(std::uint16_t aPort, const std::string& aDatabase)
+Caller::Caller(std::uint16_t aPort,
+               const std::string& aDatabase,
+               const std::string& aKey)
   : mStream("127.0.0.1", aPort)
 {
   mStream.socket().setTimeout(cxxtools::Milliseconds(kAnswerTimeoutMs));
-  mWelcome = Exchange("STARTUP " + aDatabase + " user");
+  mWelcome = Exchange("STARTUP " + aDatabase + " " + aKey);
 }
 
 std::string
@@ -81,10 +86,12 @@
 }
 
 std::unique_ptr<Caller>
-OpenWhenServed(std::uint16_t aPort, const std::string& aDatabase)
+OpenWhenServed(std::uint16_t aPort,
+               const std::string& aDatabase,
+               const std::string& aKey)
 {
   for (int n = 0; n < 60; ++n) {
-    auto caller = std::make_unique<Caller>(aPort, aDatabase);
+    auto caller = std::make_unique<Caller>(aPort, aDatabase, aKey);
     if (caller->mWelcome.empty()) {
       return caller;
     }
--- a/Tests/Platform/Standin/LocalGateway.h
+++ b/Tests/Platform/Standin/LocalGateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -16,8 +17,12 @@
 class LocalGateway
 {
 public:
-  /// Starts the gateway, which holds no state of an earlier one.
-  LocalGateway(std::uint16_t aFirstPort, std::uint16_t aSitePort);
+  /// Starts the gateway, which holds no state of an earlier one. Its
+  /// configuration is out of date after a time without confirmation, if one is
+  /// given.
+  LocalGateway(std::uint16_t aFirstPort,
+               std::uint16_t aSitePort,
+               std::chrono::milliseconds aRevokeTimeout = {});
 
   /// Has the gateway stop as planned and waits for it.
   ~LocalGateway();
@@ -36,7 +41,9 @@
 {
 public:
   /// Opens a session for a database at a port of this machine.
-  Caller(std::uint16_t aPort, const std::string& aDatabase);
+  Caller(std::uint16_t aPort,
+         const std::string& aDatabase,
+         const std::string& aKey = "user");
 
   /// Sends a query. Returns the lines of the answer before its end.
   std::string Query(const std::string& aText);
@@ -56,6 +63,7 @@
 /// Opens a session once the gateway serves the database; nullptr if it does
 /// not within 3 s.
 std::unique_ptr<Caller> OpenWhenServed(std::uint16_t aPort,
-                                       const std::string& aDatabase);
+                                       const std::string& aDatabase,
+                                       const std::string& aKey = "user");
 
 }
--- a/Tests/Platform/Standin/SiteStandin.cpp
+++ b/Tests/Platform/Standin/SiteStandin.cpp
@@ -34,7 +34,20 @@
          R"(","Prefix":"/","Kind":")" +
          (aPrimary ? "primary" : "bounded_staleness") +
          R"(","TimeoutMs":4000,"TargetLatencyMs":4000,"Priority":0,)"
-         R"("Service":"records","MaxAttempts":2,"MaxStalenessMs":1500})";
+         R"("Service":"records","MaxAttempts":2,"MaxStalenessMs":1500,)"
+         R"("Public":)" +
+         (aDatabase == "open" ? "true}" : "false}");
+}
+
+/// A list of a JSON text's items.
+std::string
+ListText(const std::vector<std::string>& aItems)
+{
+  std::string text;
+  for (const std::string& item : aItems) {
+    text += (text.empty() ? "" : ",") + item;
+  }
+  return "[" + text + "]";
 }
 
 }
@@ -104,10 +117,27 @@
   const std::string text =
     "{\"Version\":" + std::to_string(aVersion) + ",\"Routes\":[" + routes +
     R"(],"Services":[{"Name":"records","MaxConns":32,"SyncReplicas":1}],)"
-    R"("Limits":{"TxIdleMs":3000}})";
+    R"("Limits":{"TxIdleMs":3000})" +
+    mAccountsText + "}";
   Do([&] { mStore.Put("op", "config", text); });
 }
 
+void
+SiteStandin::SetAccounts(const std::vector<StandinAccount>& aAccounts)
+{
+  std::vector<std::string> accounts;
+  for (const StandinAccount& account : aAccounts) {
+    std::vector<std::string> keys;
+    for (const std::string& key : account.mKeys) {
+      keys.push_back("\"" + key + "\"");
+    }
+    accounts.push_back(R"({"Name":")" + account.mName + R"(","ApiKeys":)" +
+                       ListText(keys) +
+                       R"(,"Priority":1,"RatePerS":0,"Burst":0})");
+  }
+  mAccountsText = R"(,"Tenants":)" + ListText(accounts);
+}
+
 void
 SiteStandin::RemoveServer(std::size_t aServer)
 {
--- a/Tests/Platform/Standin/SiteStandin.h
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -27,6 +27,13 @@
   Repeat,
 };
 
+/// A client account that is published.
+struct StandinAccount
+{
+  std::string mName;
+  std::vector<std::string> mKeys;
+};
+
 /// A small site on loopback addresses: the platform's store and promotions,
 /// and one group of backend servers, in a thread of its own.
 class SiteStandin : public cxxtools::Connectable
@@ -55,6 +62,10 @@
   void Publish(std::uint64_t aVersion,
                const std::vector<std::string>& aDatabases);
 
+  /// Has the configurations that are published from now on name client
+  /// accounts. Routes named "open" need no key.
+  void SetAccounts(const std::vector<StandinAccount>& aAccounts);
+
   /// Ends a server and removes its entry.
   void RemoveServer(std::size_t aServer);
 
@@ -83,6 +94,8 @@
   void OnWake(const cxxtools::Event& aEvent);
 
   std::uint16_t mFirstPort;
+  /// The part of a configuration that names the accounts.
+  std::string mAccountsText;
   cxxtools::EventLoop mLoop;
   StoreStandin mStore;
   HttpStandin mPromotions;
--- a/Tests/Platform/WireTextTest.cpp
+++ b/Tests/Platform/WireTextTest.cpp
@@ -87,6 +87,21 @@
   CHECK(WriteError(ResultCode::DeadlineExceeded, "x") == "ERROR TIMEOUT x\r\n");
 }
 
+TEST_CASE("A connection is opened in the name of an account", "[WireText]")
+{
+  CHECK(WriteStartup("g", "acme", "i-1") == "STARTUP g acme i-1\r\n");
+  CHECK(WriteStartup("g", "", "i-1") == "STARTUP g camphorstep i-1\r\n");
+}
+
+TEST_CASE("An unconfirmed configuration is a promise that nothing ran",
+          "[WireText]")
+{
+  CHECK(WriteError(ResultCode::ConfigurationStale, "old") ==
+        "ERROR BUSY old\r\n");
+  CHECK(WriteError(ResultCode::Unauthenticated, "key") ==
+        "ERROR UNAUTH key\r\n");
+}
+
 TEST_CASE("The state that ends a server's answer is read", "[WireText]")
 {
   BackendReply reply;
--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -50,11 +50,13 @@
 class Session
 {
 public:
-  Session(std::uint16_t aPort, const std::string& aDatabase)
+  Session(std::uint16_t aPort,
+          const std::string& aDatabase,
+          const std::string& aKey)
     : mStream("127.0.0.1", aPort)
   {
     mStream.socket().setTimeout(cxxtools::Milliseconds(kAnswerTimeoutMs));
-    mIsOpen = Exchange("STARTUP " + aDatabase + " soak").mIsWhole;
+    mIsOpen = Exchange("STARTUP " + aDatabase + " " + aKey).mIsWhole;
   }
 
   Reply Query(const std::string& aId, const std::string& aText)
@@ -106,12 +108,15 @@
 public:
   Caller(const Gateways& aGateways,
          Ledger& aLedger,
+         const Keys& aKeys,
          CallerCounts& aCounts,
          std::size_t aNumber,
          std::uint64_t aSeed)
     : mGateways(aGateways)
     , mLedger(aLedger)
+    , mKeys(aKeys)
     , mCounts(aCounts)
+    , mNumber(aNumber)
     , mName("c" + std::to_string(aNumber))
     , mDatabase(aNumber % 2 == 0 ? "main" : "near")
     , mRandom(aSeed)
@@ -153,10 +158,14 @@
   {
     mSession.reset();
     try {
-      mSession = std::make_unique<Session>(
-        mGateways.CallerPort(Draw(mGateways.Count())), mDatabase);
+      mSession =
+        std::make_unique<Session>(mGateways.CallerPort(Draw(mGateways.Count())),
+                                  mDatabase,
+                                  Keys::KeyOf(mNumber));
       if (mSession->IsOpen()) {
         Check(mSession->Query(NextId(), "SET who " + mName), "");
+      } else {
+        std::this_thread::sleep_for(20ms);
       }
     } catch (const std::exception&) {
       // The gateway is down; another one may be up.
@@ -165,6 +174,18 @@
     }
   }
 
+  /// Sends a statement that a server runs. Checks that it is not served once
+  /// the caller's key has been taken away for long enough.
+  Reply Ask(const std::string& aId, const std::string& aText)
+  {
+    const Clock::time_point sentAt = Clock::now();
+    const Reply reply = mSession->Query(aId, aText);
+    if (reply.mIsDone && mKeys.IsGone(mNumber, sentAt)) {
+      mLedger.Fail("a key that was taken away is not served", aId);
+    }
+    return reply;
+  }
+
   /// Counts a reply, and checks that a success is the server's own.
   void Check(const Reply& aReply, const std::string& aId)
   {
@@ -193,7 +214,7 @@
     const std::string item = NextItem();
     const std::string id = NextId();
     const std::uint64_t attempt = mLedger.Begin({ item });
-    const Reply reply = mSession->Query(id, WriteText(item));
+    const Reply reply = Ask(id, WriteText(item));
     mLedger.Settle(attempt, FateOf(reply));
     Check(reply, id);
   }
@@ -207,7 +228,7 @@
     std::vector<std::string> items{ NextItem(), NextItem() };
     const std::uint64_t attempt = mLedger.Begin(items);
     for (const std::string& item : items) {
-      const Reply reply = mSession->Query(NextId(), WriteText(item));
+      const Reply reply = Ask(NextId(), WriteText(item));
       if (!reply.mIsDone) {
         Check(reply, "");
         // Without its commit nothing of a transaction is kept, whatever the
@@ -224,7 +245,7 @@
       return;
     }
     const std::string id = NextId();
-    const Reply reply = mSession->Query(id, "COMMIT");
+    const Reply reply = Ask(id, "COMMIT");
     mLedger.Settle(attempt, FateOf(reply));
     Check(reply, id);
     if (!reply.mIsDone) {
@@ -247,7 +268,7 @@
       return;
     }
     const std::string id = NextId();
-    const Reply reply = mSession->Query(id, "READ " + item);
+    const Reply reply = Ask(id, "READ " + item);
     Check(reply, id);
     if (reply.mIsDone && reply.mRow != item) {
       mLedger.Fail("reads are as fresh as the route says",
@@ -260,7 +281,9 @@
 
   const Gateways& mGateways;
   Ledger& mLedger;
+  const Keys& mKeys;
   CallerCounts& mCounts;
+  std::size_t mNumber;
   std::string mName;
   std::string mDatabase;
   std::mt19937_64 mRandom;
@@ -273,12 +296,12 @@
 
 Callers::Callers(const Gateways& aGateways,
                  Ledger& aLedger,
-                 std::size_t aCount,
+                 const Keys& aKeys,
                  std::uint64_t aSeed)
 {
-  for (std::size_t n = 0; n < aCount; ++n) {
-    mThreads.emplace_back([this, &aGateways, &aLedger, n, aSeed] {
-      Caller caller(aGateways, aLedger, mCounts, n, aSeed * 1'000 + n);
+  for (std::size_t n = 0; n < aKeys.CountCallers(); ++n) {
+    mThreads.emplace_back([this, &aGateways, &aLedger, &aKeys, n, aSeed] {
+      Caller caller(aGateways, aLedger, aKeys, mCounts, n, aSeed * 1'000 + n);
       while (!mStopping) {
         caller.ActOnce();
       }
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "Gateways.h"
+#include "Keys.h"
 #include "Ledger.h"
 
 namespace camphorstep::soak {
@@ -25,7 +26,7 @@
 public:
   Callers(const Gateways& aGateways,
           Ledger& aLedger,
-          std::size_t aCount,
+          const Keys& aKeys,
           std::uint64_t aSeed);
   /// Has them finish what they do, and waits for it.
   ~Callers();
--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -51,6 +51,7 @@
   EnumName<FaultKind>{ FaultKind::KillPrimary, "kill primary" },
   EnumName<FaultKind>{ FaultKind::KillHolder, "kill holder of the lease" },
   EnumName<FaultKind>{ FaultKind::StopHolder, "stop holder of the lease" },
+  EnumName<FaultKind>{ FaultKind::TakeKeyAway, "take away the key of caller" },
 };
 /// The kinds before StoreReturns, whose faults are drawn apart so that the
 /// others of a seed stay the same.
@@ -58,6 +59,11 @@
   static_cast<std::size_t>(FaultKind::StoreReturns);
 constexpr std::uint64_t kReturnsSeed = 0x5eed;
 constexpr int kMeanReturnGapMs = 4'000;
+constexpr std::uint64_t kKeysSeed = 0x6e75;
+constexpr int kMeanKeyGapMs = 500;
+/// How long a key is away: beyond the time for which it may still be served.
+constexpr int kShortestKeyMs = 2'500;
+constexpr int kKeySpanMs = 3'000;
 
 bool
 IsForGateway(FaultKind aKind)
@@ -145,6 +151,26 @@
   }
 }
 
+void
+AddKeyFaults(std::vector<Fault>& aSchedule,
+             std::uint64_t aSeed,
+             std::chrono::milliseconds aLength,
+             std::size_t aCallers)
+{
+  std::mt19937_64 random(aSeed ^ kKeysSeed);
+  for (auto at = 0ms; aCallers > 0;) {
+    at += std::chrono::milliseconds(Draw(random, 2 * kMeanKeyGapMs));
+    if (at >= aLength) {
+      break;
+    }
+    const auto duration = kShortestKeyMs + Draw(random, kKeySpanMs);
+    aSchedule.push_back({ at,
+                          FaultKind::TakeKeyAway,
+                          Draw(random, aCallers),
+                          std::chrono::milliseconds(duration) });
+  }
+}
+
 void
 SetDelay(LinkRelay& aRelay, std::int64_t aMicros)
 {
@@ -179,9 +205,11 @@
 MakeSchedule(std::uint64_t aSeed,
              std::chrono::milliseconds aLength,
              std::size_t aGateways,
+             std::size_t aCallersWithKeys,
              bool aOnlyPromotions)
 {
   std::vector<Fault> schedule;
+  AddKeyFaults(schedule, aSeed, aLength, aCallersWithKeys);
   if (!aOnlyPromotions) {
     AddOutsideFaults(schedule, aSeed, aLength, aGateways);
     AddStoreReturns(schedule, aSeed, aLength);
@@ -195,7 +223,8 @@
   return schedule;
 }
 
-Targets::Targets(std::uint16_t aSitePort, std::uint16_t aRelayPort)
+Targets::Targets(std::uint16_t aSitePort, std::uint16_t aRelayPort, Keys& aKeys)
+  : mKeys(aKeys)
 {
   std::vector<Address> fronts;
   for (std::size_t n = 0; n < kServers; ++n) {
@@ -263,6 +292,11 @@
     case FaultKind::Publish:
       Publish();
       break;
+    case FaultKind::TakeKeyAway:
+      mKeys.Take(n);
+      Publish();
+      mKeys.NoteTaken(n);
+      break;
     case FaultKind::StoreReturns:
       mSite->Do([&] { mSite->Store().KeepCopy(); });
       break;
@@ -354,6 +388,10 @@
       mSite->Do([&] { mSite->Store().ReturnFromCopy(); });
       WriteConfiguration();
       break;
+    case FaultKind::TakeKeyAway:
+      mKeys.Return(n);
+      Publish();
+      break;
     default:
       break;
   }
@@ -399,6 +437,9 @@
 void
 Targets::WriteConfiguration()
 {
+  if (mKeys.HasAccounts()) {
+    mSite->SetAccounts(mKeys.Accounts());
+  }
   mSite->Publish(mVersion,
                  { "main", "near", "extra" + std::to_string(mVersion) });
 }
--- a/Tests/Soak/Faults.h
+++ b/Tests/Soak/Faults.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Gateways.h"
+#include "Keys.h"
 #include "SiteStandin.h"
 #include "Standin/LinkRelay.h"
 
@@ -57,6 +58,8 @@
   KillHolder,
   /// Stops it as planned.
   StopHolder,
+  /// Takes a caller's key away until the end.
+  TakeKeyAway,
 };
 
 /// A fault of a schedule.
@@ -64,7 +67,7 @@
 {
   std::chrono::milliseconds mAt{ 0 };
   FaultKind mKind = FaultKind::KillGateway;
-  /// Which gateway or server.
+  /// Which gateway, server or caller.
   std::size_t mTarget = 0;
   /// How long it lasts, if it does not end by itself.
   std::chrono::milliseconds mDuration{ 0 };
@@ -76,10 +79,12 @@
 std::size_t Draw(std::mt19937_64& aRandom, std::size_t aBelow);
 
 /// The faults of a seed, in the order of their times: all, or only those
-/// around changes of primary, of which there are more without the others.
+/// around changes of primary, of which there are more without the others. Keys
+/// are taken away from a number of callers.
 std::vector<Fault> MakeSchedule(std::uint64_t aSeed,
                                 std::chrono::milliseconds aLength,
                                 std::size_t aGateways,
+                                std::size_t aCallersWithKeys,
                                 bool aOnlyPromotions);
 
 /// What faults are done to.
@@ -87,7 +92,7 @@
 {
 public:
   /// Uses ports from a first one on for the relays in front of the servers.
-  Targets(std::uint16_t aSitePort, std::uint16_t aRelayPort);
+  Targets(std::uint16_t aSitePort, std::uint16_t aRelayPort, Keys& aKeys);
 
   standin::SiteStandin& Site() { return *mSite; }
 
@@ -106,6 +111,7 @@
   /// Writes the configuration that was published last.
   void WriteConfiguration();
 
+  Keys& mKeys;
   std::vector<std::unique_ptr<LinkSettings>> mLinks;
   /// Their threads run until the process ends.
   std::vector<LinkRelay*> mRelays;
--- a/Tests/Soak/Gateways.cpp
+++ b/Tests/Soak/Gateways.cpp
@@ -34,7 +34,8 @@
                    std::string aFolder,
                    std::size_t aCount,
                    std::uint16_t aFirstPort,
-                   std::uint16_t aStorePort)
+                   std::uint16_t aStorePort,
+                   std::chrono::milliseconds aRevokeTimeout)
   : mProgram(std::move(aProgram))
   , mFolder(std::move(aFolder))
   , mFirstPort(aFirstPort)
@@ -51,8 +52,9 @@
         << "\nreadiness = " << AddressText(port + 1)
         << "\npeers = " << AddressText(port + 2)
         << "\nmetrics = " << AddressText(port + 3)
-        << "\n[stop]\ngrace_ms = 2000\n[platform]\nstore = "
-        << AddressText(mStorePort)
+        << "\n[stop]\ngrace_ms = 2000\n[accounts]\nrevoke_ms = "
+        << aRevokeTimeout.count()
+        << "\n[platform]\nstore = " << AddressText(mStorePort)
         << "\npromotions = " << AddressText(mStorePort + 1)
         << "\n[data_centre.a]\nregion = r\n[data_centre.b]\nregion = r\n";
     out.close();
--- a/Tests/Soak/Gateways.h
+++ b/Tests/Soak/Gateways.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,12 +14,15 @@
 {
 public:
   /// Starts processes of a program, each with its settings and its log in a
-  /// folder. The platform's store and promotions are on loopback ports.
+  /// folder. The platform's store and promotions are on loopback ports. Their
+  /// configuration is out of date after a time without confirmation; never if
+  /// that is zero.
   Gateways(std::string aProgram,
            std::string aFolder,
            std::size_t aCount,
            std::uint16_t aFirstPort,
-           std::uint16_t aStorePort);
+           std::uint16_t aStorePort,
+           std::chrono::milliseconds aRevokeTimeout);
   ~Gateways();
 
   Gateways(const Gateways&) = delete;
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -16,6 +16,7 @@
 #include "Callers.h"
 #include "Faults.h"
 #include "Gateways.h"
+#include "Keys.h"
 #include "Ledger.h"
 
 namespace camphorstep::soak {
@@ -41,6 +42,7 @@
   std::uint64_t mSeed = 1;
   std::chrono::seconds mLength{ 12 };
   bool mOnlyPromotions = false;
+  bool mAccounts = false;
   std::uint16_t mFirstPort = 21'000;
   std::size_t mGateways = 4;
   std::size_t mCallers = 12;
@@ -53,7 +55,8 @@
   try {
     cxxtools::net::TcpStream stream("127.0.0.1", aPort);
     stream.socket().setTimeout(cxxtools::Milliseconds(1'000.0));
-    stream << "STARTUP " << aDatabase << " soak\r\n" << std::flush;
+    stream << "STARTUP " << aDatabase << " " << Keys::OwnKey() << "\r\n"
+           << std::flush;
     std::string line;
     return std::getline(stream, line) && line.starts_with("READY");
   } catch (const std::exception&) {
@@ -70,7 +73,8 @@
     cxxtools::net::TcpStream stream("127.0.0.1", aPort);
     stream.socket().setTimeout(cxxtools::Milliseconds(5'000.0));
     aLedger.Begin({ aItem });
-    stream << "STARTUP main soak\r\nQUERY last WRITE " << aItem << " x\r\n"
+    stream << "STARTUP main " << Keys::OwnKey() << "\r\nQUERY last WRITE "
+           << aItem << " x\r\n"
            << std::flush;
     for (std::string line; std::getline(stream, line);) {
       if (line.starts_with("COMPLETE sig-last")) {
@@ -184,27 +188,38 @@
 {
   std::filesystem::create_directories(aOptions.mFolder);
   Ledger ledger;
+  Keys keys(aOptions.mAccounts, aOptions.mCallers);
   const std::uint16_t port = aOptions.mFirstPort;
-  Targets targets(port, static_cast<std::uint16_t>(port + kRelayPorts));
+  Targets targets(port, static_cast<std::uint16_t>(port + kRelayPorts), keys);
   targets.Site().Do([&] {
     targets.Site().Group().SetPromotionDelay(kPromotionDelay);
     targets.Site().Group().mOnLeading = [&ledger](const auto& aData) {
       ledger.CheckKept(aData);
     };
+    targets.Site().Group().mOnStatement =
+      [&ledger, &keys](const std::string& aId, const std::string& aAccount) {
+        if (aAccount != keys.AccountOfStatement(aId)) {
+          ledger.Fail("servers are told the caller's account",
+                      aId + " came from " + aAccount);
+        }
+      };
   });
   Gateways gateways(aOptions.mProgram,
                     aOptions.mFolder,
                     aOptions.mGateways,
                     static_cast<std::uint16_t>(port + kGatewayPorts),
-                    port);
+                    port,
+                    aOptions.mAccounts ? kRevokeTimeout : 0ms);
   CheckRecovery(targets, gateways, ledger, "before");
-  const std::vector<Fault> schedule = MakeSchedule(aOptions.mSeed,
-                                                   aOptions.mLength,
-                                                   aOptions.mGateways,
-                                                   aOptions.mOnlyPromotions);
+  const std::vector<Fault> schedule =
+    MakeSchedule(aOptions.mSeed,
+                 aOptions.mLength,
+                 aOptions.mGateways,
+                 aOptions.mAccounts ? aOptions.mCallers : 0,
+                 aOptions.mOnlyPromotions);
   std::uint64_t served = 0;
   {
-    Callers callers(gateways, ledger, aOptions.mCallers, aOptions.mSeed);
+    Callers callers(gateways, ledger, keys, aOptions.mSeed);
     PlayFaults(schedule, aOptions.mLength, targets, gateways, ledger);
     CheckRecovery(targets, gateways, ledger, "after");
     served = callers.mCounts.mServed;
@@ -231,7 +246,8 @@
             << aOptions.mSeed << " --seconds " << aOptions.mLength.count()
             << " --gateways " << aOptions.mGateways << " --callers "
             << aOptions.mCallers
-            << (aOptions.mOnlyPromotions ? " --only-promotions" : "") << "\n";
+            << (aOptions.mOnlyPromotions ? " --only-promotions" : "")
+            << (aOptions.mAccounts ? " --accounts" : "") << "\n";
   return EXIT_FAILURE;
 }
 
@@ -254,6 +270,7 @@
       "how long faults come",
       cxxopts::value<int>()->default_value("12"));
   add("only-promotions", "only faults around changes of primary");
+  add("accounts", "callers have keys, which are taken away");
   add("port",
       "first of the ports, of about 120",
       cxxopts::value<std::uint16_t>()->default_value("21000"));
@@ -272,6 +289,7 @@
   run.mSeed = result["seed"].as<std::uint64_t>();
   run.mLength = std::chrono::seconds(result["seconds"].as<int>());
   run.mOnlyPromotions = result.count("only-promotions") > 0;
+  run.mAccounts = result.count("accounts") > 0;
   run.mFirstPort = result["port"].as<std::uint16_t>();
   run.mGateways = result["gateways"].as<std::size_t>();
   run.mCallers = result["callers"].as<std::size_t>();
