--- a/Source/Gateway/Counters.h
+++ b/Source/Gateway/Counters.h
@@ -36,6 +36,17 @@
   std::uint64_t mUnknown = 0;
 };
 
+/// Callers that were refused for their key.
+struct RefusalCounters
+{
+  /// No account has the key.
+  std::uint64_t mUnknownKey = 0;
+  /// The key belongs to another account than when the operation began.
+  std::uint64_t mOtherAccount = 0;
+  /// The configuration was out of date.
+  std::uint64_t mOutOfDate = 0;
+};
+
 /// Monotonic counters, exported as metrics.
 struct Counters
 {
@@ -70,6 +81,11 @@
   /// Sessions that ran here because their owner did not open them.
   std::uint64_t mRelayFallbacks = 0;
   std::uint64_t mOwnersPassedOver = 0;
+  RefusalCounters mRefusedSessions;
+  RefusalCounters mRefusedStatements;
+  /// Idle connections that were closed so that another client account could
+  /// open one.
+  std::uint64_t mLinksClosedForOthers = 0;
 };
 
 }
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -137,6 +137,8 @@
   std::size_t mMaxSessionBytes = 0;
   /// Whether sessions may be passed on to owners of connections.
   bool mIsRelaying = false;
+  /// See Identity::mRevokeTimeout.
+  Duration mRevokeTimeout{ 0 };
 };
 
 /// The process has been asked to stop.
--- a/Source/Gateway/LogLimit.cpp
+++ b/Source/Gateway/LogLimit.cpp
@@ -1,5 +1,10 @@
 #include "Gateway/LogLimit.h"
 
+#include <string>
+#include <utility>
+
+#include "Gateway/Context.h"
+
 namespace camphorstep::gateway {
 
 namespace {
@@ -24,4 +29,20 @@
   return false;
 }
 
+void
+LogLimited(Context& aContext,
+           LogLimit& aLimit,
+           LogSeverity aSeverity,
+           std::string_view aEvent,
+           std::vector<LogValue> aValues)
+{
+  if (!MayLog(aLimit, aContext.mNow)) {
+    return;
+  }
+  if (const auto leftOut = std::exchange(aLimit.mLeftOut, 0)) {
+    aValues.push_back({ "left_out", std::to_string(leftOut) });
+  }
+  Log(aContext, aSeverity, aEvent, std::move(aValues));
+}
+
 }
--- a/Source/Gateway/LogLimit.h
+++ b/Source/Gateway/LogLimit.h
@@ -1,11 +1,16 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
+#include <vector>
 
 #include "Common/Time.h"
+#include "Messages/Effect.h"
 
 namespace camphorstep::gateway {
 
+struct Context;
+
 /// Counts lines of one kind, so that callers cannot have a host write any
 /// number of them.
 struct LogLimit
@@ -20,4 +25,12 @@
 /// Whether one more line may be written; counts it as left out if not.
 bool MayLog(LogLimit& aLimit, Instant aNow);
 
+/// Emits a log record unless too many of its kind were emitted in the last
+/// second. It states how many were left out before it.
+void LogLimited(Context& aContext,
+                LogLimit& aLimit,
+                LogSeverity aSeverity,
+                std::string_view aEvent,
+                std::vector<LogValue> aValues);
+
 }
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -33,6 +33,9 @@
   std::size_t mMaxSessionBytes = 0;
   /// Whether sessions may be passed on to owners of connections.
   bool mIsRelaying = false;
+  /// Callers with a key are refused once the configuration has not been
+  /// confirmed for this long; zero turns that off.
+  Duration mRevokeTimeout{ 0 };
 };
 
 /// The progress of a planned stop.
@@ -70,6 +73,9 @@
   Counters mCounters;
   /// Lines on what callers were refused.
   LogLimit mRefusalLog;
+  /// Limits the log records on callers that are refused for their key.
+  LogLimit mRefusedSessionLog;
+  LogLimit mRefusedStatementLog;
 };
 
 }
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -7,6 +7,7 @@
 #include "Fleet/Following.h"
 #include "Fleet/Reports.h"
 #include "Gateway/Context.h"
+#include "Gateway/Readiness.h"
 #include "Gateway/Stopping.h"
 #include "Gateway/Tuning.h"
 #include "Group/Promoter.h"
@@ -103,6 +104,8 @@
     mContext.mState.mRateLimits.mBounds = aEvent.mLimitBounds;
     mContext.mState.mSelf.mMaxSessionBytes = aEvent.mMaxSessionBytes;
     mContext.mState.mSelf.mIsRelaying = aEvent.mIsRelaying;
+    mContext.mState.mSelf.mRevokeTimeout = aEvent.mRevokeTimeout;
+    UpdateReadiness(mContext);
   }
   void operator()(const StopRequested&) const { BeginStop(mContext); }
   void operator()(const TimePassed&) const {}
@@ -153,6 +156,9 @@
     case TimerKind::TokenRequests:
       ExpireTokenRequests(aContext, AccountId{ aId });
       break;
+    case TimerKind::ConfigurationAge:
+      UpdateReadiness(aContext);
+      break;
     case TimerKind::Stop:
       ContinueStop(aContext);
       break;
--- a/Source/Gateway/Timers.h
+++ b/Source/Gateway/Timers.h
@@ -32,6 +32,8 @@
   Shares,
   /// Operations of an account have waited for too long for their tokens.
   TokenRequests,
+  /// The configuration is out of date unless it is confirmed sooner.
+  ConfigurationAge,
   Stop,
   /// An owner has not opened a session, or answered its statement, in time.
   Relay,
--- a/Source/Session/Answers.cpp
+++ b/Source/Session/Answers.cpp
@@ -20,6 +20,7 @@
   ResultCode::ReplicaBehind,      ResultCode::PrimaryChanged,
   ResultCode::NoPrimary,          ResultCode::Stopping,
   ResultCode::TooManyConnections, ResultCode::RateLimited,
+  ResultCode::ConfigurationStale,
 };
 
 Rank
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -9,6 +9,7 @@
 #include "RateLimits/RateLimits.h"
 #include "Relay/RelayedSessions.h"
 #include "Session/Answers.h"
+#include "Session/Authorization.h"
 #include "Session/Execution.h"
 #include "Session/Routing.h"
 #include "Session/SessionMemory.h"
@@ -194,12 +195,32 @@
   aContext.mState.mTimers.Cancel(TimerKind::IdleTransaction,
                                  aSession.mId.mValue);
   if (RejectByTransactionState(aContext, aSession, aStatement) ||
+      !AuthorizeStatement(aContext, aSession, aStatement) ||
       AnswerLocally(aContext, aSession, aStatement)) {
     return;
   }
   ActivateStatement(aContext, aSession, aStatement);
 }
 
+Session
+MakeSession(const Context& aContext, const SessionOpened& aEvent)
+{
+  Session session;
+  session.mId = aEvent.mSession;
+  session.mIdleSince = aContext.mNow;
+  session.mDatabase = aEvent.mDatabase;
+  session.mKey = aEvent.mKey;
+  return session;
+}
+
+void
+KeepSession(Context& aContext, Session aSession)
+{
+  const SessionId id = aSession.mId;
+  aContext.mState.mSessions.emplace(id, std::move(aSession));
+  ++aContext.mState.mCounters.mSessions;
+}
+
 }
 
 void
@@ -231,22 +252,22 @@
                         "no route has that name" });
     return;
   }
+  Session session = MakeSession(aContext, aEvent);
+  if (!AuthorizeSession(aContext, session)) {
+    return;
+  }
   if (aPlace == SessionPlace::AnyHost && RelaySession(aContext, aEvent)) {
     return;
   }
-  OpenLocalSession(aContext, aEvent);
+  KeepSession(aContext, std::move(session));
   Emit(aContext, AcceptSession{ aEvent.mSession });
 }
 
 void
 OpenLocalSession(Context& aContext, const SessionOpened& aEvent)
 {
-  Session session;
-  session.mId = aEvent.mSession;
-  session.mIdleSince = aContext.mNow;
-  session.mDatabase = aEvent.mDatabase;
-  aContext.mState.mSessions.emplace(session.mId, std::move(session));
-  ++aContext.mState.mCounters.mSessions;
+  // Its statements find the account of its key.
+  KeepSession(aContext, MakeSession(aContext, aEvent));
 }
 
 void
--- a/Source/Settings/GatewaySettings.cpp
+++ b/Source/Settings/GatewaySettings.cpp
@@ -20,6 +20,7 @@
 constexpr std::int64_t kMaxWindowMs = 3'600'000;
 constexpr double kMaxOverage = 10.0;
 constexpr double kMaxSlack = 1'000'000.0;
+constexpr std::int64_t kMaxRevokeMs = 86'400'000;
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1'000.0;
 constexpr std::int64_t kMinSessionKb = 64;
@@ -72,6 +73,9 @@
     reader.Read("slack", bounds.mSlack, 0.0, kMaxSlack);
   } else if (aSection.mName == "relay") {
     reader.Read("enabled", aSettings.mIsRelaying, kBooleanNames);
+  } else if (aSection.mName == "accounts") {
+    reader.ReadMilliseconds(
+      "revoke_ms", aSettings.mRevokeTimeout, 0, kMaxRevokeMs);
   } else if (aSection.mName == "platform") {
     aSettings.mStoreAddress = RequireAddress(reader, "store");
     aSettings.mPromotionAddress = RequireAddress(reader, "promotions");
--- a/Source/Settings/GatewaySettings.h
+++ b/Source/Settings/GatewaySettings.h
@@ -51,6 +51,11 @@
   /// connections are scarce.
   bool mIsRelaying = false;
 
+  // [accounts]
+  /// Callers with a key are refused once the configuration has not been
+  /// confirmed for this long; zero turns that off.
+  Duration mRevokeTimeout{ 0 };
+
   // [platform]
   Address mStoreAddress;
   Address mPromotionAddress;
--- a/Source/Shell/GatewayRuntime.cpp
+++ b/Source/Shell/GatewayRuntime.cpp
@@ -89,6 +89,7 @@
   state.mRateLimits.mBounds = aSettings.mLimitBounds;
   state.mSelf.mMaxSessionBytes = MaxSessionBytes(aSettings);
   state.mSelf.mIsRelaying = aSettings.mIsRelaying;
+  state.mSelf.mRevokeTimeout = aSettings.mRevokeTimeout;
   return state;
 }
 
@@ -102,6 +103,7 @@
   event.mLimitBounds = aSettings.mLimitBounds;
   event.mMaxSessionBytes = MaxSessionBytes(aSettings);
   event.mIsRelaying = aSettings.mIsRelaying;
+  event.mRevokeTimeout = aSettings.mRevokeTimeout;
   return event;
 }
 
--- a/Tests/Platform/Standin/LocalGateway.cpp
+++ b/Tests/Platform/Standin/LocalGateway.cpp
@@ -45,6 +45,7 @@
       << "\nmetrics = " << AddressText(aFirstPort + 3)
       << "\n[stop]\ngrace_ms = 2000\n[relay]\nenabled = "
       << (aOptions.mIsRelaying ? "yes" : "no")
+      << "\n[accounts]\nrevoke_ms = " << aOptions.mRevokeTimeout.count()
       << "\n[platform]\nstore = " << AddressText(aSitePort)
       << "\npromotions = " << AddressText(aSitePort + 1)
       << "\n[data_centre.a]\nregion = r\n";
@@ -53,8 +54,10 @@
 
 }
 
-LocalGateway::LocalGateway(std::uint16_t aFirstPort, std::uint16_t aSitePort)
-  : mSettingsPath(WriteSettings(aFirstPort, aSitePort, {}))
+LocalGateway::LocalGateway(std::uint16_t aFirstPort,
+                           std::uint16_t aSitePort,
+                           const GatewayOptions& aOptions)
+  : mSettingsPath(WriteSettings(aFirstPort, aSitePort, aOptions))
 {
   mRuntime =
     std::make_unique<GatewayRuntime>(mSettingsPath, platform::MakeAdapter);
@@ -129,11 +132,13 @@
   return 0;
 }
 
-Caller::Caller(std::uint16_t aPort, const std::string& aDatabase)
+Caller::Caller(std::uint16_t aPort,
+               const std::string& aDatabase,
+               const std::string& aKey)
   : mStream("127.0.0.1", aPort)
 {
   mStream.socket().setTimeout(cxxtools::Milliseconds(kAnswerTimeoutMs));
-  mWelcome = Exchange("STARTUP " + aDatabase + " user");
+  mWelcome = Exchange("STARTUP " + aDatabase + " " + aKey);
 }
 
 std::string
@@ -161,10 +166,12 @@
 }
 
 std::unique_ptr<Caller>
-OpenWhenServed(std::uint16_t aPort, const std::string& aDatabase)
+OpenWhenServed(std::uint16_t aPort,
+               const std::string& aDatabase,
+               const std::string& aKey)
 {
   for (int n = 0; n < 60; ++n) {
-    auto caller = std::make_unique<Caller>(aPort, aDatabase);
+    auto caller = std::make_unique<Caller>(aPort, aDatabase, aKey);
     if (caller->mWelcome.empty()) {
       return caller;
     }
--- a/Tests/Platform/Standin/LocalGateway.h
+++ b/Tests/Platform/Standin/LocalGateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -20,6 +21,9 @@
   double mProcessorShare = 1.0;
   /// Whether it passes sessions on to owners of connections.
   bool mIsRelaying = false;
+  /// After how long without confirmation its configuration is out of date; zero
+  /// turns that off.
+  std::chrono::milliseconds mRevokeTimeout{ 0 };
 };
 
 /// A gateway on loopback ports from a first one on, in a thread of its own. It
@@ -28,7 +32,9 @@
 {
 public:
   /// Starts the gateway, which holds no state of an earlier one.
-  LocalGateway(std::uint16_t aFirstPort, std::uint16_t aSitePort);
+  LocalGateway(std::uint16_t aFirstPort,
+               std::uint16_t aSitePort,
+               const GatewayOptions& aOptions = {});
 
   /// Has the gateway stop as planned and waits for it.
   ~LocalGateway();
@@ -74,7 +80,9 @@
 {
 public:
   /// Opens a session for a database at a port of this machine.
-  Caller(std::uint16_t aPort, const std::string& aDatabase);
+  Caller(std::uint16_t aPort,
+         const std::string& aDatabase,
+         const std::string& aKey = "user");
 
   /// Sends a query. Returns the lines of the answer before its end.
   std::string Query(const std::string& aText);
@@ -94,6 +102,7 @@
 /// Opens a session once the gateway serves the database; nullptr if it does
 /// not within 3 s.
 std::unique_ptr<Caller> OpenWhenServed(std::uint16_t aPort,
-                                       const std::string& aDatabase);
+                                       const std::string& aDatabase,
+                                       const std::string& aKey = "user");
 
 }
--- a/Tests/Platform/Standin/SiteStandin.h
+++ b/Tests/Platform/Standin/SiteStandin.h
@@ -27,6 +27,13 @@
   Repeat,
 };
 
+/// A client account that is published.
+struct StandinAccount
+{
+  std::string mName;
+  std::vector<std::string> mKeys;
+};
+
 /// A small site on loopback addresses: the platform's store and promotions,
 /// and one group of backend servers, in a thread of its own.
 class SiteStandin : public cxxtools::Connectable
@@ -59,6 +66,10 @@
   /// on.
   void SetMaxConnections(std::uint32_t aMost) { mMaxConnections = aMost; }
 
+  /// Has the configurations that are published from now on name client
+  /// accounts. Routes named "open" need no key.
+  void SetAccounts(const std::vector<StandinAccount>& aAccounts);
+
   /// Ends a server and removes its entry.
   void RemoveServer(std::size_t aServer);
 
@@ -88,6 +99,8 @@
 
   std::uint16_t mFirstPort;
   std::uint32_t mMaxConnections = 32;
+  /// The part of a configuration that names the accounts.
+  std::string mAccountsText;
   cxxtools::EventLoop mLoop;
   StoreStandin mStore;
   HttpStandin mPromotions;
