Promotions test: Take the effects on limits

Cause: the world's visitor of effects did not know the two on accounts' limits, so the random test of promotions did not compile. Change: it ignores them; none of its accounts has a limit.

--- a/Tests/Promotions/WorldHosts.cpp
+++ b/Tests/Promotions/WorldHosts.cpp
@@ -435,6 +435,9 @@
     }
   }
   void operator()(const RemoveHostEntry&) const {}
+  // No account of this world has a limit.
+  void operator()(const SendRateLimitQuery&) const {}
+  void operator()(const SendRateLimitReport&) const {}
   void operator()(const SetReady&) const {}
   void operator()(const StopComplete&) const {}
 };
