Tests: Bounds on what waits between an entry host and an owner

Cause: with the owner's bound on unsent answers taken out, the test of it passed, because the socket's own and larger bound ended the connection. Change: that test bounds the bytes; a test of the entry host's bound on unsent statements.

--- a/Tests/Platform/RelayLinksTest.cpp
+++ b/Tests/Platform/RelayLinksTest.cpp
@@ -205,9 +205,9 @@
           std::get_if<gateway::SessionOpened>(&aEvent)) {
       opened = event->mSession;
       hosts.mLoop.exit();
-    } else if (const auto* const event =
+    } else if (const auto* const end =
                  std::get_if<gateway::SessionEnded>(&aEvent)) {
-      ended.push_back(event->mSession);
+      ended.push_back(end->mSession);
       hosts.mLoop.exit();
     }
   };
@@ -339,10 +339,39 @@
   entry.write(opening.data(), opening.size());
   hosts.Run();
   REQUIRE(opened);
-  int answers = 0;
+  std::size_t answers = 0;
   while (!hasEnded && answers < 100) {
     hosts.mOwner->CarryRelayed(MakeAnswer(opened));
     ++answers;
   }
   CHECK(hasEnded);
+  // Beside what may wait, the system's buffers take some.
+  constexpr std::size_t kSystemBytes = 16 * 1024 * 1024;
+  constexpr std::size_t kAnswerBytes = 5 * 1024 * 1024;
+  CHECK(answers * kAnswerBytes <=
+        kMaxUnsentRelayBytes + kSystemBytes + 2 * kAnswerBytes);
+}
+
+TEST_CASE("Statements are not sent to an owner that does not read",
+          "[RelayLinks]")
+{
+  TwoHosts hosts;
+  std::vector<gateway::EventBody> events;
+  hosts.mEntrySink.mHandler = [&](gateway::EventBody aEvent) {
+    events.push_back(std::move(aEvent));
+  };
+  hosts.Open();
+  gateway::Statement statement = MakeStatement();
+  statement.mText.assign(1024 * 1024, 'x');
+  // Nobody reads, since the loop does not run.
+  std::size_t sent = 0;
+  while (events.empty() && sent < 100) {
+    hosts.mEntry.CarryRelayed(
+      gateway::SendOnRelay{ kRelay, "owner", statement });
+    ++sent;
+  }
+  REQUIRE(events.size() == 1);
+  CHECK(std::get<gateway::RelayStatementUnsent>(events.front()).mRelay ==
+        kRelay);
+  CHECK(sent <= kMaxUnsentRelayBytes / statement.mText.size() + 2);
 }
