Relay: Clean for the linter

Cause: a parameter was copied without need, and a constant kept from being moved. Change: a reference, and no constant.

--- a/Source/Shell/RelayIntake.cpp
+++ b/Source/Shell/RelayIntake.cpp
@@ -200,7 +200,8 @@
 }
 
 void
-RelayIntake::Send(const Intake& aIntake, gateway::RelayResponse aResponse)
+RelayIntake::Send(const Intake& aIntake,
+                  const gateway::RelayResponse& aResponse)
 {
   mSender(aIntake.mLink, Encode(aResponse));
 }
--- a/Source/Shell/RelayIntake.h
+++ b/Source/Shell/RelayIntake.h
@@ -59,7 +59,7 @@
               gateway::RelayId aRelay,
               const gateway::RelayEnd& aEnd);
   Intake* Find(gateway::SessionId aSession);
-  void Send(const Intake& aIntake, gateway::RelayResponse aResponse);
+  void Send(const Intake& aIntake, const gateway::RelayResponse& aResponse);
   void Remove(gateway::SessionId aSession);
 
   GatewaySink& mSink;
--- a/Tests/Gateway/RelayTest.cpp
+++ b/Tests/Gateway/RelayTest.cpp
@@ -80,7 +80,7 @@
     std::vector<Effect> effects;
     const Context context{ mState, mNow, effects };
     for (int n = 0;; ++n) {
-      const std::string name = "owner" + std::to_string(n);
+      std::string name = "owner" + std::to_string(n);
       if (mState.mCatalogue.mHosts.contains(name)) {
         continue;
       }
