--- a/Source/Relay/Owners.cpp
+++ b/Source/Relay/Owners.cpp
@@ -49,7 +49,11 @@
   const std::uint32_t most = aGroup.mRules.mMaxConnections;
   const std::uint32_t usable =
     most > kSpareConnections ? most - kSpareConnections : 0;
-  return aContext.mState.mCatalogue.mHosts.size() > usable;
+  // A connection carries the statements of one account.
+  const auto& accounts = aContext.mState.mCatalogue.mAccounts;
+  const std::size_t perHost =
+    accounts ? std::max<std::size_t>(1, accounts->mRules.mAccounts.size()) : 1;
+  return aContext.mState.mCatalogue.mHosts.size() * perHost > usable;
 }
 
 const HostEntry*
--- a/Source/Relay/Owners.h
+++ b/Source/Relay/Owners.h
@@ -6,8 +6,9 @@
 
 namespace camphorstep::gateway {
 
-/// Whether a group's servers accept fewer connections than there are hosts, so
-/// that hosts share connections. Otherwise each host opens its own.
+/// Whether a group's servers accept fewer connections than one for each host
+/// and client account, so that hosts share connections. Otherwise each host
+/// opens its own.
 bool AreConnectionsScarce(const Context& aContext, const Group& aGroup);
 
 /// The host of this data centre that owns a group's connections, or nullptr if
