--- a/Source/Backend/LinkChoice.cpp
+++ b/Source/Backend/LinkChoice.cpp
@@ -25,12 +25,18 @@
   return next;
 }
 
+bool
+EndsOvertaking(Instant aWaitingSince, Instant aNow)
+{
+  return aNow - aWaitingSince >= kOvertakeTimeout;
+}
+
 LinkId
 ChooseLinkToClose(std::span<const IdleLink> aIdleLinks,
                   const LinkDemand& aDemand,
                   Instant aNow)
 {
-  const bool mayTakeWanted = aNow - aDemand.mWaitingSince >= kOvertakeTimeout;
+  const bool mayTakeWanted = EndsOvertaking(aDemand.mWaitingSince, aNow);
   const IdleLink* oldest = nullptr;
   for (const IdleLink& link : aIdleLinks) {
     if (link.mAccount == aDemand.mAccount ||
--- a/Source/Backend/LinkChoice.h
+++ b/Source/Backend/LinkChoice.h
@@ -31,6 +31,10 @@
 /// one server at the same time.
 LinkDemand* NextOpening(std::span<LinkDemand> aDemands);
 
+/// Whether a statement that waits for a connection of its account may no longer
+/// be overtaken by statements of accounts that have one.
+bool EndsOvertaking(Instant aWaitingSince, Instant aNow);
+
 /// An idle connection that may be closed for another account.
 struct IdleLink
 {
--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -292,6 +292,25 @@
   }
 }
 
+/// Whether a connection is to be opened for a statement before others start,
+/// which would take the idle connection that can be closed for it.
+bool
+IsOpeningDue(const Context& aContext,
+             const Backend& aBackend,
+             const Session& aSession)
+{
+  const bool canOpen =
+    aBackend.mOpenAfter <= aContext.mNow && aBackend.mOpening < kMaxOpening;
+  const bool isOpening = std::any_of(
+    aBackend.mLinks.begin(), aBackend.mLinks.end(), [&](LinkId aId) {
+      const Link* const link = Find(aContext.mState.mLinks, aId);
+      return link != nullptr && !link->mReady &&
+             link->mAccount == aSession.mAccount;
+    });
+  return canOpen && !isOpening &&
+         EndsOvertaking(aSession.mActive->mArrivedAt, aContext.mNow);
+}
+
 /// What became of an attempt to start one of the statements that wait.
 enum class StartAttempt : std::uint8_t
 {
@@ -338,7 +357,8 @@
       return StartAttempt::Made;
     }
     attempt = StartAttempt::LinkMissing;
-    if (!HasIdleLink(aContext, aBackend)) {
+    if (!HasIdleLink(aContext, aBackend) ||
+        IsOpeningDue(aContext, aBackend, *session)) {
       return attempt;
     }
     withoutLink.push_back(session->mAccount);
--- a/Source/Gateway/Context.cpp
+++ b/Source/Gateway/Context.cpp
@@ -4,6 +4,13 @@
 
 namespace camphorstep::gateway {
 
+namespace {
+
+/// How many lines on refused statements and sessions are written in a second.
+constexpr std::uint32_t kMaxRefusalLines = 100;
+
+}
+
 void
 Emit(Context& aContext, Effect aEffect)
 {
@@ -26,7 +33,7 @@
            std::vector<LogValue> aValues)
 {
   LogLimit& limit = aContext.mState.mRefusalLog;
-  if (!MayLog(limit, aContext.mNow)) {
+  if (!MayLog(limit, aContext.mNow, kMaxRefusalLines)) {
     return;
   }
   if (limit.mLeftOut > 0) {
--- a/Source/Gateway/LogLimit.cpp
+++ b/Source/Gateway/LogLimit.cpp
@@ -9,19 +9,18 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxLines = 100;
 constexpr Duration kInterval{ 1'000'000 };
 
 }
 
 bool
-MayLog(LogLimit& aLimit, Instant aNow)
+MayLog(LogLimit& aLimit, Instant aNow, std::uint32_t aMaxLines)
 {
   if (aNow - aLimit.mSince >= kInterval) {
     aLimit.mSince = aNow;
     aLimit.mLines = 0;
   }
-  if (aLimit.mLines < kMaxLines) {
+  if (aLimit.mLines < aMaxLines) {
     ++aLimit.mLines;
     return true;
   }
@@ -36,7 +35,7 @@
            std::string_view aEvent,
            std::vector<LogValue> aValues)
 {
-  if (!MayLog(aLimit, aContext.mNow)) {
+  if (!MayLog(aLimit, aContext.mNow, 1)) {
     return;
   }
   if (const auto leftOut = std::exchange(aLimit.mLeftOut, 0)) {
--- a/Source/Gateway/LogLimit.h
+++ b/Source/Gateway/LogLimit.h
@@ -22,11 +22,12 @@
   std::uint64_t mLeftOut = 0;
 };
 
-/// Whether one more line may be written; counts it as left out if not.
-bool MayLog(LogLimit& aLimit, Instant aNow);
+/// Whether one more line may be written, with at most a number of them in a
+/// second; counts it as left out if not.
+bool MayLog(LogLimit& aLimit, Instant aNow, std::uint32_t aMaxLines);
 
-/// Emits a log record unless too many of its kind were emitted in the last
-/// second. It states how many were left out before it.
+/// Emits a log record unless one of its kind was emitted in the same second. It
+/// states how many were left out before it.
 void LogLimited(Context& aContext,
                 LogLimit& aLimit,
                 LogSeverity aSeverity,
--- a/Tests/Gateway/AccountsTest.cpp
+++ b/Tests/Gateway/AccountsTest.cpp
@@ -38,7 +38,7 @@
   std::size_t CountSent(BackendVerb aVerb) const
   {
     std::size_t n = 0;
-    for (const Effect& effect : mEffects) {
+    for (const auto& effect : mEffects) {
       const auto* const send = std::get_if<SendOnLink>(&effect);
       n += send != nullptr && send->mRequest.mVerb == aVerb ? 1 : 0;
     }
