Tests: The random test of promotions knows the report of a session's memory

Cause: the parts were joined; its visitor lists all effects. Change: an empty handler; a reply of the soak that can be moved, as the linter asks.

--- a/Tests/Promotions/WorldHosts.cpp
+++ b/Tests/Promotions/WorldHosts.cpp
@@ -350,6 +350,7 @@
   }
   void operator()(const CloseLink&) const {}
   // Hosts pass no sessions on unless their settings permit it.
+  void operator()(const ReportSessionMemory&) const {}
   void operator()(const OpenRelay&) const {}
   void operator()(const SendOnRelay&) const {}
   void operator()(const EndRelay&) const {}
--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -179,7 +179,7 @@
   Reply Ask(const std::string& aId, const std::string& aText)
   {
     const Clock::time_point sentAt = Clock::now();
-    const Reply reply = mSession->Query(aId, aText);
+    Reply reply = mSession->Query(aId, aText);
     if (reply.mIsDone && mKeys.IsGone(mNumber, sentAt)) {
       mLedger.Fail("a key that was taken away is not served", aId);
     }
