Group: Eject servers that fail callers' statements, and retry their reads once

Cause: a server that fails part of its work, or reports good health and serves nothing, got as many reads as the others, and each error went to its caller.

Change: each host keeps a decayed record of how callers' statements ended at each server. A server that fails clearly more than the others of its group gets no new reads while another can serve them; at least half of the servers are kept, and trial reads at growing intervals bring it back. A read that ended in a server's error, outside a transaction or as the first statement of a read-only one, is sent once more; a second error is passed on, and the first one if the second attempt is refused, lost or silent.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Backend/Admission.h"
+#include "Backend/OutlierDetection.h"
 #include "Common/Time.h"
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
@@ -104,6 +105,7 @@
   std::uint32_t mRunning = 0;
   std::map<QueuePlace, SessionId> mQueue;
   ServerPace mPace;
+  OutcomeRecord mOutcomes;
 };
 
 }
--- a/Source/Gateway/Counters.h
+++ b/Source/Gateway/Counters.h
@@ -27,6 +27,13 @@
   std::uint64_t mReplicaReads = 0;
   std::uint64_t mPrimaryReads = 0;
   std::uint64_t mRetries = 0;
+  /// Reads that were sent once more because a server answered with an error.
+  std::uint64_t mErrorRetries = 0;
+  /// Servers that were ejected for failing statements, trials sent to them, and
+  /// servers that got reads again.
+  std::uint64_t mEjections = 0;
+  std::uint64_t mTrials = 0;
+  std::uint64_t mReadmissions = 0;
   std::uint64_t mLinksOpened = 0;
   std::uint64_t mLinksLost = 0;
   std::uint64_t mStatusRequests = 0;
--- a/Source/Session/Answers.cpp
+++ b/Source/Session/Answers.cpp
@@ -181,6 +181,12 @@
               const std::string& aReason)
 {
   const ActiveStatement& active = *aSession.mActive;
+  if (active.mServerError) {
+    // It has run, so a refusal of the second attempt would not be true.
+    const BackendReply error = active.mServerError->mReply;
+    CompleteStatement(aContext, aSession, error);
+    return;
+  }
   CountOutcome(aContext.mState.mCounters.mRanks[IndexOf(RankOf(active))],
                aCode);
   auto values = Describe(aContext, aSession, active);
--- a/Source/Session/Answers.h
+++ b/Source/Session/Answers.h
@@ -23,7 +23,8 @@
                        const BackendReply& aReply);
 
 /// Answers the active statement with an error from the proxy itself, and ends
-/// it. The reason is logged and is part of the error text.
+/// it. The reason is logged and is part of the error text. If a server has
+/// answered an earlier attempt with an error, this error is passed on instead.
 void FailStatement(Context& aContext,
                    Session& aSession,
                    ResultCode aCode,
--- a/Source/Session/Outcomes.cpp
+++ b/Source/Session/Outcomes.cpp
@@ -5,6 +5,7 @@
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
+#include "Group/Outliers.h"
 #include "Session/Answers.h"
 #include "Session/Execution.h"
 #include "Session/Routing.h"
@@ -27,6 +28,24 @@
   return !InTransaction(aSession) && IsWrite(aSession, statement);
 }
 
+/// Whether the active statement reads.
+bool
+IsRead(const Session& aSession)
+{
+  const Statement& statement = aSession.mActive->mStatement;
+  return statement.mKind != StatementKind::Commit &&
+         !IsWrite(aSession, statement);
+}
+
+/// Whether a server has been sent the statement, or the begin of its
+/// transaction, and has not answered.
+bool
+IsAtServer(StatementStage aStage)
+{
+  return aStage == StatementStage::Running ||
+         aStage == StatementStage::Beginning;
+}
+
 /// Whether the server refused the statement without running it.
 bool
 IsRefusal(ResultCode aCode)
@@ -89,6 +108,67 @@
     aContext, aSession, isOverloaded ? kBusyRetryDelay : Duration{ 0 });
 }
 
+/// Whether a read that ended in a server's error may be sent once more: nothing
+/// of its transaction, which has to be read-only, has been answered.
+bool
+CanRetryError(const Context& aContext,
+              const Session& aSession,
+              const BackendReply& aReply)
+{
+  const ActiveStatement& active = *aSession.mActive;
+  const Transaction& transaction = aSession.mTransaction;
+  const bool standsAlone =
+    !InTransaction(aSession) ||
+    (transaction.mReadOnly && transaction.mStatements == 0);
+  return aReply.mCode == ResultCode::StatementFailed && IsRead(aSession) &&
+         standsAlone && !active.mServerError &&
+         active.mAttempts < kMaxAttempts &&
+         aContext.mNow + kBusyRetryDelay < active.mDeadline;
+}
+
+/// Sends a read that ended in a server's error once more, to another server if
+/// there is one.
+void
+RetryError(Context& aContext, Session& aSession, const BackendReply& aReply)
+{
+  ++aContext.mState.mCounters.mErrorRetries;
+  aSession.mActive->mServerError =
+    ServerError{ aSession.mActive->mServer, aReply };
+  ReleaseTransactionLink(aContext, aSession);
+  RetryOrFail(aContext,
+              aSession,
+              aReply.mCode,
+              "the backend server failed to run the statement");
+}
+
+/// Records the outcome of a statement at a server. An error that a second
+/// server repeats is the statement's own; a write shows nothing by its error,
+/// since only the primary runs it.
+void
+RecordOutcome(Context& aContext,
+              const Session& aSession,
+              Backend& aBackend,
+              ResultCode aCode)
+{
+  const ActiveStatement& active = *aSession.mActive;
+  if (aCode == ResultCode::Ok) {
+    NoteServed(aContext, aBackend);
+    Backend* const failed =
+      active.mServerError
+        ? Find(aContext.mState.mBackends, active.mServerError->mServer)
+        : nullptr;
+    if (failed != nullptr) {
+      NoteFailed(aContext, *failed);
+    }
+    return;
+  }
+  const bool isFailure = aCode == ResultCode::StatementFailed ||
+                         aCode == ResultCode::DeadlineExceeded;
+  if (isFailure && IsRead(aSession) && !active.mServerError) {
+    NoteFailed(aContext, aBackend);
+  }
+}
+
 /// Updates the session and the counters after a statement has succeeded.
 void
 RecordSuccess(Context& aContext,
@@ -250,6 +330,9 @@
   }
   if (Backend* const backend = Find(aContext.mState.mBackends, aLink.mServer)) {
     RecordRefusal(aContext, *backend, aReply);
+    if (!IsRefusal(aReply.mCode)) {
+      NoteFailed(aContext, *backend);
+    }
   }
   const SessionId id = session->mId;
   ReleaseTransactionLink(aContext, *session);
@@ -272,7 +355,13 @@
   const LinkId linkId = aLink.mId;
   Backend& backend = aContext.mState.mBackends.at(aLink.mServer);
   const bool ownsLink = session->mTransaction.mLink == linkId;
-  if (IsRefusal(aReply.mCode)) {
+  const bool retriesError = CanRetryError(aContext, *session, aReply);
+  if (!retriesError) {
+    RecordOutcome(aContext, *session, backend, aReply.mCode);
+  }
+  if (retriesError) {
+    RetryError(aContext, *session, aReply);
+  } else if (IsRefusal(aReply.mCode)) {
     RecordRefusal(aContext, backend, aReply);
     if (aReply.mCode == ResultCode::UnknownStatement) {
       aLink.mPrepared.clear();
@@ -337,8 +426,13 @@
     return;
   }
   const StatementStage stage = session->mActive->mStage;
+  Backend* const backend = Find(aContext.mState.mBackends, aLink.mServer);
+  if (backend != nullptr && IsAtServer(stage)) {
+    NoteUnanswered(aContext, *backend);
+  }
   const bool isTransactionEmpty = session->mTransaction.mStatements == 0;
   const bool canRepeat = !CanCommitWrites(*session) &&
+                         !session->mActive->mServerError &&
                          (!InTransaction(*session) || isTransactionEmpty);
   if (stage == StatementStage::Beginning ||
       (stage == StatementStage::Running && canRepeat)) {
@@ -372,13 +466,16 @@
     aContext.mState.mTimers.Arm(TimerKind::Statement, aSession.mValue, next);
     return;
   }
-  const bool atServer = active.mStage == StatementStage::Running ||
-                        active.mStage == StatementStage::Beginning;
+  const bool atServer = IsAtServer(active.mStage);
   if (atServer && aContext.mNow < active.mDeadline) {
     aContext.mState.mTimers.Arm(
       TimerKind::Statement, aSession.mValue, active.mDeadline);
     return;
   }
+  Backend* const backend = Find(aContext.mState.mBackends, active.mServer);
+  if (atServer && backend != nullptr) {
+    NoteUnanswered(aContext, *backend);
+  }
   if (active.mStage == StatementStage::Running) {
     const LinkId link = active.mLink;
     session->mTransaction.mLink = LinkId{};
--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <limits>
 
+#include "Backend/OutlierDetection.h"
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
 #include "Group/Sampling.h"
+#include "Session/Transactions.h"
 
 namespace camphorstep::gateway {
 
@@ -20,6 +22,9 @@
 /// chosen only if there is no other.
 constexpr Duration kAvoidedCost = 500ms;
 constexpr Duration kSilentCost = 300ms;
+/// Cost of a server that is ejected for failing statements, so that it is
+/// chosen only if no other can serve the read.
+constexpr Duration kEjectedCost = 2s;
 /// Cost of a server that has no connection left.
 constexpr Duration kFullCost = 150ms;
 /// Added cost of the primary for reads that a replica can serve too.
@@ -73,6 +78,16 @@
          aContext.mNow - aRequired.mSince > lag + kApplyMargin;
 }
 
+/// Whether nothing has been heard from a server for a while.
+bool
+IsSilent(const Context& aContext, const Backend& aBackend)
+{
+  const Instant lastHeardAt =
+    std::max(aBackend.mLastReceivedAt, aBackend.mStatusAskedAt);
+  return aContext.mNow - lastHeardAt > kEvidenceTimeout ||
+         aBackend.mLastTimeoutAt > aBackend.mLastReceivedAt;
+}
+
 Duration
 CostOf(const Context& aContext,
        const Backend& aBackend,
@@ -87,18 +102,54 @@
   if (aActive.mAvoidedServer == aBackend.mId) {
     cost += kAvoidedCost;
   }
+  if (aBackend.mOutcomes.mEjection) {
+    cost += kEjectedCost;
+  }
   if (!HasFreeConnection(aContext, aBackend)) {
     cost += kFullCost;
   }
-  const Instant lastHeardAt =
-    std::max(aBackend.mLastReceivedAt, aBackend.mStatusAskedAt);
-  if (aContext.mNow - lastHeardAt > kEvidenceTimeout ||
-      aBackend.mLastTimeoutAt > aBackend.mLastReceivedAt) {
+  if (IsSilent(aContext, aBackend)) {
     cost += kSilentCost;
   }
   return cost;
 }
 
+/// Whether a replica may be given a read that requires a position.
+bool
+CanServeRead(const Context& aContext,
+             const Group& aGroup,
+             const Backend& aBackend,
+             const RequiredPosition& aRequired)
+{
+  return aBackend.mId != aGroup.mPrimary &&
+         CanTakeNewWork(aBackend, aContext.mNow) && aBackend.mStatus &&
+         IsLikelyFresh(aContext, aBackend, aRequired);
+}
+
+/// Returns an ejected replica that a read may be sent to as a trial, or
+/// nullptr. Only a read that can be sent elsewhere after an error is risked,
+/// and only at a server that is likely to answer it.
+Backend*
+ChooseTrialReplica(Context& aContext,
+                   const Session& aSession,
+                   const Group& aGroup,
+                   const RequiredPosition& aRequired)
+{
+  if (InTransaction(aSession) || aSession.mActive->mAttempts > 0) {
+    return nullptr;
+  }
+  for (const ServerId id : aGroup.mServers) {
+    Backend* const backend = Find(aContext.mState.mBackends, id);
+    if (backend != nullptr && IsTrialDue(backend->mOutcomes, aContext.mNow) &&
+        !IsSilent(aContext, *backend) &&
+        HasFreeConnection(aContext, *backend) &&
+        CanServeRead(aContext, aGroup, *backend, aRequired)) {
+      return backend;
+    }
+  }
+  return nullptr;
+}
+
 /// Returns the replica with the lowest cost among those that are expected to
 /// have the required position, or nullptr if there is none.
 Backend*
@@ -111,9 +162,8 @@
   Duration bestCost = Duration::max();
   for (const ServerId id : aGroup.mServers) {
     Backend* const backend = Find(aContext.mState.mBackends, id);
-    if (backend == nullptr || id == aGroup.mPrimary ||
-        !CanTakeNewWork(*backend, aContext.mNow) || !backend->mStatus ||
-        !IsLikelyFresh(aContext, *backend, aRequired)) {
+    if (backend == nullptr ||
+        !CanServeRead(aContext, aGroup, *backend, aRequired)) {
       continue;
     }
     const Duration cost = CostOf(aContext, *backend, *aSession.mActive);
@@ -135,6 +185,14 @@
   const auto required = NeedsPrimary(aContext, aSession)
                           ? std::nullopt
                           : RequiredReplicaPosition(aContext, aSession);
+  Backend* const trial =
+    required ? ChooseTrialReplica(aContext, aSession, aGroup, *required)
+             : nullptr;
+  if (trial != nullptr) {
+    StartTrial(trial->mOutcomes, aContext.mNow);
+    ++aContext.mState.mCounters.mTrials;
+    return trial;
+  }
   Backend* const replica =
     required ? ChooseReplica(aContext, aSession, aGroup, *required) : nullptr;
   if (primary == nullptr || replica == nullptr) {
--- a/Source/Session/SessionState.h
+++ b/Source/Session/SessionState.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "Common/Time.h"
+#include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
 #include "Gateway/Statement.h"
 #include "Gateway/StoreRecord.h"
@@ -48,6 +49,13 @@
   auto operator<=>(const QueuePlace&) const = default;
 };
 
+/// A server's error answer to a statement that is sent once more.
+struct ServerError
+{
+  ServerId mServer;
+  BackendReply mReply;
+};
+
 /// The statement of a session that is being processed.
 struct ActiveStatement
 {
@@ -69,6 +77,9 @@
   LinkId mLink;
   /// The server that refused or lost it last; avoided if there is another.
   ServerId mAvoidedServer;
+  /// The error after which it was sent once more; passed on unless a later
+  /// attempt ends otherwise.
+  std::optional<ServerError> mServerError;
   QueuePlace mPlace;
 };
 
