Backend: Serve client accounts in turn within an urgency

Cause: a server's queue was in the order of arrival, so one account's flood within its limit made all others of its urgency wait.

Change: start-time fair queueing as part of the sort key. Without accounts all statements have the same turn, so the order is that of arrival, as before. Refused statements give their turn back. The count of statements ahead, by which a wait is hopeless, follows the same key.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Backend/AccountTurns.h"
 #include "Backend/Admission.h"
 #include "Backend/OutlierDetection.h"
 #include "Common/Time.h"
@@ -104,6 +105,8 @@
   /// Statements of this host that the server is running.
   std::uint32_t mRunning = 0;
   std::map<QueuePlace, SessionId> mQueue;
+  /// The turns of client accounts in the queue, by urgency.
+  std::map<std::uint32_t, AccountTurns> mTurns;
   ServerPace mPace;
   OutcomeRecord mOutcomes;
 };
--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "Backend/AccountTurns.h"
 #include "Backend/Admission.h"
 #include "Backend/Preparation.h"
 #include "Gateway/Tuning.h"
@@ -135,6 +136,34 @@
   }
 }
 
+/// Gives a statement its turn in a server's queue. One that returns to the
+/// queue keeps the turn that it had there.
+void
+AssignTurn(Session& aSession, Backend& aBackend)
+{
+  ActiveStatement& active = *aSession.mActive;
+  if (active.mTurnServer == aBackend.mId) {
+    return;
+  }
+  active.mTurnServer = aBackend.mId;
+  active.mPlace.mTurn =
+    TakeTurn(aBackend.mTurns[active.mPlace.mUrgency], aSession.mAccount);
+}
+
+/// Removes the first statement from a server's queue to start it.
+void
+TakeFirst(Backend& aBackend)
+{
+  const QueuePlace place = aBackend.mQueue.begin()->first;
+  aBackend.mQueue.erase(aBackend.mQueue.begin());
+  AccountTurns& turns = aBackend.mTurns[place.mUrgency];
+  StartTurn(turns, place.mTurn);
+  const auto next = aBackend.mQueue.begin();
+  if (next == aBackend.mQueue.end() || next->first.mUrgency != place.mUrgency) {
+    EndTurns(turns);
+  }
+}
+
 bool
 CountsAsRunning(ExchangeKind aKind)
 {
@@ -191,6 +220,7 @@
   active.mServer = aBackend.mId;
   active.mQueueDeadline =
     LatestStart(aBackend.mPace, active.mArrivedAt, active.mDeadline);
+  AssignTurn(aSession, aBackend);
   aBackend.mQueue.emplace(active.mPlace, aSession.mId);
   if (active.mAttempts == 0) {
     aContext.mState.mTimers.ArmSooner(
@@ -209,6 +239,9 @@
   if (Backend* const backend =
         Find(aContext.mState.mBackends, active.mServer)) {
     backend->mQueue.erase(active.mPlace);
+    ReturnTurn(backend->mTurns[active.mPlace.mUrgency],
+               aSession.mAccount,
+               active.mPlace.mTurn);
   }
 }
 
@@ -248,7 +281,7 @@
       OpenQueuedLinks(aContext, aBackend);
       return;
     }
-    aBackend.mQueue.erase(it);
+    TakeFirst(aBackend);
     RecordStart(aBackend.mPace, aContext.mNow, !aBackend.mQueue.empty());
     StartOnLink(aContext, *session, *link);
   }
@@ -259,6 +292,9 @@
 {
   const std::map<QueuePlace, SessionId> queue =
     std::exchange(aBackend.mQueue, {});
+  for (auto& [urgency, turns] : aBackend.mTurns) {
+    EndTurns(turns);
+  }
   for (const auto& [place, id] : queue) {
     if (Session* const session = Find(aContext.mState.mSessions, id)) {
       RouteStatement(aContext, *session);
--- a/Source/Session/SessionState.h
+++ b/Source/Session/SessionState.h
@@ -40,10 +40,11 @@
 };
 
 /// The sort key of a statement in a server's queue: by urgency, the most urgent
-/// first, then in the order of arrival.
+/// first, then by the turns of client accounts, then in the order of arrival.
 struct QueuePlace
 {
   std::uint32_t mUrgency = 0;
+  std::uint64_t mTurn = 0;
   std::uint64_t mSequence = 0;
 
   auto operator<=>(const QueuePlace&) const = default;
@@ -81,6 +82,8 @@
   /// attempt ends otherwise.
   std::optional<ServerError> mServerError;
   QueuePlace mPlace;
+  /// The server in whose queue the turn of its place counts.
+  ServerId mTurnServer;
 };
 
 /// The transaction of a session.
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -135,7 +135,8 @@
   active.mArrivedAt = aContext.mNow;
   active.mDeadline = aContext.mNow + route->mStatementTimeout;
   active.mQueueDeadline = active.mDeadline;
-  active.mPlace = { route->mUrgency, ++aContext.mState.mLastId };
+  active.mPlace.mUrgency = route->mUrgency;
+  active.mPlace.mSequence = ++aContext.mState.mLastId;
   aSession.mActive = std::move(active);
   aContext.mState.mTimers.Arm(
     TimerKind::Statement, aSession.mId.mValue, aSession.mActive->mDeadline);
