Session: Let the advised retry delay follow the expected wait, and spread it

Cause: every refusal advised 300 ms, so callers that were refused together returned together, into the same queue. Statements that need a primary waited until their deadline however long the primary had been lost.

Change: the delay is the queue's length times its pace, or how long the primary has been lost, between 100 ms and the statement's time limit, spread by a quarter either way by the request's id; 300 ms if nothing is known. A statement whose group has had no primary for over twice the time that it has left is refused on arrival.

--- a/Source/Backend/Admission.cpp
+++ b/Source/Backend/Admission.cpp
@@ -58,15 +58,25 @@
                                 limit / kMostReserveDivisor);
 }
 
+Duration
+QueueWait(const ServerPace& aPace, std::size_t aAhead)
+{
+  return aPace.mStartInterval * static_cast<Duration::rep>(aAhead);
+}
+
 bool
 IsWaitHopeless(const ServerPace& aPace,
                std::size_t aAhead,
                Instant aNow,
                Instant aLatestStart)
 {
-  const Duration wait =
-    aPace.mStartInterval * static_cast<Duration::rep>(aAhead);
-  return wait > (aLatestStart - aNow) * kHopelessFactor;
+  return QueueWait(aPace, aAhead) > (aLatestStart - aNow) * kHopelessFactor;
+}
+
+bool
+IsOutageHopeless(Duration aLossTime, Duration aTimeLeft)
+{
+  return aLossTime > aTimeLeft * kHopelessFactor;
 }
 
 }
--- a/Source/Backend/Admission.h
+++ b/Source/Backend/Admission.h
@@ -32,6 +32,10 @@
                     Instant aArrivedAt,
                     Instant aDeadline);
 
+/// How long a statement with a number of statements ahead of it is expected to
+/// wait; zero if the server's pace is not known.
+Duration QueueWait(const ServerPace& aPace, std::size_t aAhead);
+
 /// Whether a statement with a number of statements ahead of it in the queue
 /// certainly cannot be started before its latest start.
 bool IsWaitHopeless(const ServerPace& aPace,
@@ -39,4 +43,9 @@
                     Instant aNow,
                     Instant aLatestStart);
 
+/// Whether a statement that needs the primary of a group is unlikely to get one
+/// before its deadline: the group has had none for far longer than the time
+/// that is left.
+bool IsOutageHopeless(Duration aLossTime, Duration aTimeLeft);
+
 }
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -79,8 +79,10 @@
 constexpr std::uint32_t kMaxAttempts = 5;
 /// Delay before a statement that an overloaded server refused is sent again.
 constexpr Duration kBusyRetryDelay = 25ms;
-/// The delay before a retry that the answer to a refused statement advises.
+/// The delay before a retry that the answer to a refused statement advises if
+/// the wait that it would have is not known, and the least such delay.
 constexpr Duration kRetryHint = 300ms;
+constexpr Duration kLeastRetryDelay = 100ms;
 
 /// Intervals of the reads of the servers' entries and of the hosts' entries on
 /// the promoter. A host that gets no reports from another one reads both at the
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -155,6 +155,9 @@
 RerouteWaitingStatements(Context& aContext, Group& aGroup)
 {
   const bool hasPrimary = ConfirmedPrimary(aContext, aGroup) != nullptr;
+  if (hasPrimary) {
+    aGroup.mPrimaryLostSince.reset();
+  }
   const std::set<SessionId> held = std::exchange(aGroup.mHeld, {});
   for (const SessionId id : held) {
     Session* const session = Find(aContext.mState.mSessions, id);
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -106,6 +106,8 @@
   std::optional<Instant> mReplicationStalledSince;
   /// Since when this host has had too little evidence for a primary.
   std::optional<Instant> mUnconfirmedSince;
+  /// Since when statements have found no confirmed primary.
+  std::optional<Instant> mPrimaryLostSince;
   /// Since when no server reports itself as primary.
   std::optional<Instant> mNoPrimarySince;
   std::uint64_t mMaxReplicaIndex = 0;
--- a/Source/Session/Answers.cpp
+++ b/Source/Session/Answers.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include "Gateway/Tuning.h"
+#include "Session/RetryDelay.h"
 #include "Session/Routing.h"
 
 namespace camphorstep::gateway {
@@ -196,9 +196,12 @@
   AnswerCaller answer;
   answer.mSession = aSession.mId;
   answer.mCode = aCode;
-  answer.mErrorText = HasNoEffect(aCode) ? aReason + "; retry after " +
-                                             Milliseconds(kRetryHint) + " ms"
-                                         : aReason;
+  answer.mErrorText = aReason;
+  if (HasNoEffect(aCode)) {
+    answer.mErrorText += "; retry after " +
+                         Milliseconds(AdvisedRetryDelay(aContext, aSession)) +
+                         " ms";
+  }
   answer.mState = aSession.mTransaction.mState;
   EndActive(aContext, aSession);
   Emit(aContext, std::move(answer));
--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "Backend/Admission.h"
 #include "Backend/OutlierDetection.h"
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
@@ -219,9 +220,36 @@
     return;
   }
   group->mHeld.insert(aSession.mId);
+  if (!group->mPrimaryLostSince) {
+    group->mPrimaryLostSince = aContext.mNow;
+  }
   RequestUrgentSample(aContext, *group);
 }
 
+Duration
+PrimaryLossTime(const Context& aContext, const Session& aSession)
+{
+  const Route* const route = RouteOf(aContext, aSession);
+  const Group* const group =
+    route == nullptr
+      ? nullptr
+      : Find(aContext.mState.mGroups, IdOf<GroupId>(route->mGroup));
+  if (group == nullptr || !group->mPrimaryLostSince ||
+      !NeedsPrimary(aContext, aSession)) {
+    return Duration{ 0 };
+  }
+  return aContext.mNow - *group->mPrimaryLostSince;
+}
+
+bool
+IsOutageHopeless(const Context& aContext, const Session& aSession)
+{
+  const ActiveStatement& active = *aSession.mActive;
+  return active.mStage == StatementStage::AwaitingServer &&
+         IsOutageHopeless(PrimaryLossTime(aContext, aSession),
+                          active.mDeadline - aContext.mNow);
+}
+
 void
 RerouteQueuedReads(Context& aContext, Group& aGroup)
 {
--- a/Source/Session/Routing.h
+++ b/Source/Session/Routing.h
@@ -10,6 +10,15 @@
 /// Without a suitable server the statement waits until the group has one.
 void RouteStatement(Context& aContext, Session& aSession);
 
+/// How long the active statement of a session has had no primary that it needs:
+/// since the first statement of any caller that found none. Zero if it needs
+/// none or may have one.
+Duration PrimaryLossTime(const Context& aContext, const Session& aSession);
+
+/// Whether a session's statement waits for a primary and is unlikely to get one
+/// before its deadline.
+bool IsOutageHopeless(const Context& aContext, const Session& aSession);
+
 /// Routes the reads in the queue of a group's primary again, since a replica
 /// may have reached the positions that they require. Their places in the order
 /// of arrival stay the same.
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -103,6 +103,17 @@
   return true;
 }
 
+/// Refuses the active statement, which no server has been sent.
+void
+RefuseStatement(Context& aContext,
+                Session& aSession,
+                const std::string& aReason)
+{
+  LeaveQueue(aContext, aSession);
+  FailTransaction(aContext, aSession);
+  FailStatement(aContext, aSession, ResultCode::Overloaded, aReason);
+}
+
 /// Makes a statement the active one and routes it to a server, or answers it
 /// with an error if its route or prepared statement does not exist.
 void
@@ -141,13 +152,16 @@
   aContext.mState.mTimers.Arm(
     TimerKind::Statement, aSession.mId.mValue, aSession.mActive->mDeadline);
   RunActiveStatement(aContext, aSession);
-  if (aSession.mActive && IsWaitHopeless(aContext, aSession)) {
-    LeaveQueue(aContext, aSession);
-    FailTransaction(aContext, aSession);
-    FailStatement(aContext,
-                  aSession,
-                  ResultCode::Overloaded,
-                  "too many statements are waiting for the backend server");
+  if (!aSession.mActive) {
+    return;
+  }
+  if (IsWaitHopeless(aContext, aSession)) {
+    RefuseStatement(aContext,
+                    aSession,
+                    "too many statements are waiting for the backend server");
+  } else if (IsOutageHopeless(aContext, aSession)) {
+    RefuseStatement(
+      aContext, aSession, "the database has had no primary for long");
   }
 }
 
