Backend: Begin openings of connections with one at a time

Cause: each host opened up to four connections to a server at once. When all hosts start together, their openings take all slots of the servers for longer than callers wait. A full server was asked every 40 ms by every host.

Change: a window of openings that begins with one, doubles after a quick opening up to four, and begins anew after a slow or failed one. The delay after a refusal for too many connections doubles up to 160 ms.

--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -10,6 +10,7 @@
 
 #include "Backend/AccountTurns.h"
 #include "Backend/Admission.h"
+#include "Backend/OpeningPace.h"
 #include "Backend/OutlierDetection.h"
 #include "Common/Time.h"
 #include "Gateway/BackendMessage.h"
@@ -100,6 +101,7 @@
   std::vector<LinkId> mLinks;
   std::uint32_t mOpening = 0;
   Instant mOpenAfter;
+  OpeningPace mOpeningPace;
   /// Until when the server is taken to hold as many connections as it can.
   Instant mFullUntil;
   /// Statements of this host that the server is running.
--- a/Source/Backend/Links.cpp
+++ b/Source/Backend/Links.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Backend/Admission.h"
+#include "Backend/OpeningPace.h"
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
 #include "Group/Sampling.h"
@@ -49,9 +50,11 @@
 {
   if (aEvent.mCode == ResultCode::TooManyConnections) {
     aBackend.mFullUntil = aContext.mNow + kServerFullTimeout;
-    aBackend.mOpenAfter = aContext.mNow + kServerFullRetryDelay;
+    aBackend.mOpenAfter =
+      aContext.mNow + RecordTurnedAway(aBackend.mOpeningPace);
     return;
   }
+  RecordOpeningFailed(aBackend.mOpeningPace);
   aBackend.mOpenAfter = aContext.mNow + kOpenRetryDelay;
   const bool isRefusedByMachine =
     aEvent.mIsClosedByPeer && aEvent.mCode == ResultCode::Ok;
@@ -88,6 +91,7 @@
     return;
   }
   --backend.mOpening;
+  RecordOpened(backend.mOpeningPace, aContext.mNow - link->mOpenedAt);
   ReleaseLink(aContext, *link);
 }
 
--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -7,6 +7,7 @@
 
 #include "Backend/AccountTurns.h"
 #include "Backend/Admission.h"
+#include "Backend/OpeningPace.h"
 #include "Backend/Preparation.h"
 #include "Gateway/Tuning.h"
 #include "Session/Execution.h"
@@ -128,7 +129,7 @@
     return;
   }
   const std::uint32_t limit = LinkLimit(aContext, aBackend);
-  while (aBackend.mOpening < kMaxOpening &&
+  while (aBackend.mOpening < aBackend.mOpeningPace.mWindow &&
          aBackend.mOpening < aBackend.mQueue.size() &&
          aBackend.mLinks.size() < limit &&
          (aBackend.mLinks.empty() || !IsFull(aContext, aBackend))) {
@@ -408,6 +409,7 @@
           { { "server", aBackend.mEntry.mName } });
       aBackend.mOpenAfter = aContext.mNow + kOpenRetryDelay;
       aBackend.mLastTimeoutAt = aContext.mNow;
+      RecordOpeningFailed(aBackend.mOpeningPace);
     }
     if (hasTimedOut || isIdle) {
       DropLink(aContext, id);
--- a/Source/Gateway/Tuning.h
+++ b/Source/Gateway/Tuning.h
@@ -71,7 +71,7 @@
 /// A server that refused a connection because it has too many counts as full
 /// for this time.
 constexpr Duration kServerFullTimeout = 300ms;
-/// Delay between two openings of connections to a full server.
+/// Delay between two openings of connections to a full server, at first.
 constexpr Duration kServerFullRetryDelay = 40ms;
 
 /// The most attempts to have one statement run, counting those in which only
