Session: Count the opening of a connection when placing a read

Cause: routing took a server with an idle connection and one without for equally quick, though an opening takes a slot of the server and one more round trip.

Change: the cost of a server has 12 ms and a round trip more unless a connection to it is idle or it is full.

--- a/Source/Backend/Pool.cpp
+++ b/Source/Backend/Pool.cpp
@@ -176,9 +176,12 @@
 bool
 HasFreeConnection(const Context& aContext, const Backend& aBackend)
 {
-  if (!IsFull(aContext, aBackend)) {
-    return true;
-  }
+  return !IsFull(aContext, aBackend) || HasIdleConnection(aContext, aBackend);
+}
+
+bool
+HasIdleConnection(const Context& aContext, const Backend& aBackend)
+{
   return std::any_of(
     aBackend.mLinks.begin(), aBackend.mLinks.end(), [&](LinkId aId) {
       const Link* const link = Find(aContext.mState.mLinks, aId);
--- a/Source/Backend/Pool.h
+++ b/Source/Backend/Pool.h
@@ -48,6 +48,9 @@
 /// connection that others hold.
 bool HasFreeConnection(const Context& aContext, const Backend& aBackend);
 
+/// Whether a connection to a server is open and idle.
+bool HasIdleConnection(const Context& aContext, const Backend& aBackend);
+
 /// How near a server is to this host.
 Proximity ProximityTo(const Context& aContext, const Backend& aBackend);
 
--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kOtherDataCentreCost = 3ms;
 constexpr Duration kOtherRegionCost = 24ms;
 constexpr Duration kBusySlotCost = 6ms;
+/// Cost of opening a connection, besides one more round trip.
+constexpr Duration kOpeningCost = 12ms;
 /// Cost of the server that refused or lost the statement last, so that it is
 /// chosen only if there is no other.
 constexpr Duration kAvoidedCost = 500ms;
@@ -108,6 +110,8 @@
   }
   if (!HasFreeConnection(aContext, aBackend)) {
     cost += kFullCost;
+  } else if (!HasIdleConnection(aContext, aBackend)) {
+    cost += kOpeningCost + DistanceCost(aContext, aBackend);
   }
   if (IsSilent(aContext, aBackend)) {
     cost += kSilentCost;
--- a/Tests/Gateway/RoutingTest.cpp
+++ b/Tests/Gateway/RoutingTest.cpp
@@ -208,6 +208,32 @@
   CHECK(driver.ServerOf(read->mLink) == "s1");
 }
 
+// Load: hosts have connections to few of a group's servers, and openings take
+// the slots of the others.
+TEST_CASE("A read goes where a connection is open", "[Routing]")
+{
+  GatewayDriver driver;
+  // Both replicas are equally near.
+  driver.mState.mSelf.mRegions["c"] = driver.mState.mSelf.mRegions.at("b");
+  driver.OpenSession(1, "near");
+  driver.OpenSession(2, "near");
+  driver.Send(1, StatementKind::Read);
+  const auto first = driver.NextStatement();
+  REQUIRE(first);
+  driver.Send(2, StatementKind::Read);
+  const auto second = driver.NextStatement();
+  REQUIRE(second);
+  REQUIRE(driver.ServerOf(first->mLink) == "s2");
+  REQUIRE(driver.ServerOf(second->mLink) == "s3");
+  driver.Reply(*first);
+  driver.Reply(*second);
+  driver.BreakLink(first->mLink);
+  driver.Send(1, StatementKind::Read);
+  const auto read = driver.NextStatement();
+  REQUIRE(read);
+  CHECK(read->mLink == second->mLink);
+}
+
 TEST_CASE("Idle connections to a server with few free connections are closed",
           "[Routing]")
 {
