--- a/Source/Backend/BackendState.h
+++ b/Source/Backend/BackendState.h
@@ -47,12 +47,16 @@
   bool mControl = false;
   Instant mOpenedAt;
   Instant mIdleSince;
+  /// The client account whose statements it carries.
+  AccountId mAccount;
   /// The session whose statement or transaction it carries.
   SessionId mSession;
   std::deque<Exchange> mExchanges;
   /// What the server holds for the connection.
   std::map<std::string, std::string> mValues;
   std::set<PreparedStatement> mPrepared;
+  /// What the values and prepared statements take, in bytes.
+  std::size_t mCopiedBytes = 0;
 };
 
 /// A backend server as this host knows it, and the connections to it.
--- a/Source/Backend/Preparation.cpp
+++ b/Source/Backend/Preparation.cpp
@@ -6,12 +6,19 @@
 
 #include "Backend/Pool.h"
 #include "Common/Hash.h"
+#include "Session/SessionMemory.h"
 
 namespace camphorstep::gateway {
 
 namespace {
 
 constexpr int kResetCost = 100;
+/// What all connections together, and each of them, may keep of values and
+/// prepared statements while they serve no session, in bytes. With very many
+/// connections each may keep the least.
+constexpr std::size_t kMaxAllCopies = 16 * 1024 * 1024;
+constexpr std::size_t kMaxIdleCopies = 64 * 1024;
+constexpr std::size_t kMinIdleCopies = 4 * 1024;
 
 /// Whether a connection holds a value that the session does not.
 bool
@@ -50,17 +57,16 @@
             const Statement& aStatement)
 {
   if (HasForeignValue(aLink, aSession)) {
-    aLink.mValues.clear();
-    aLink.mPrepared.clear();
-    BackendRequest request;
-    request.mVerb = BackendVerb::Reset;
-    SendRequest(aContext, aLink, request, ExchangeKind::Preparation);
+    ResetLink(aContext, aLink);
   }
   for (const auto& [name, value] : aSession.mValues) {
     if (HasValue(aLink, name, value)) {
       continue;
     }
-    aLink.mValues[name] = value;
+    const auto [copy, isNew] = aLink.mValues.try_emplace(name);
+    aLink.mCopiedBytes +=
+      isNew ? MemoryOfCopy(name, value) : value.size() - copy->second.size();
+    copy->second = value;
     BackendRequest request;
     request.mVerb = BackendVerb::SetValue;
     request.mName = name;
@@ -75,6 +81,7 @@
       !aLink.mPrepared.insert(it->second).second) {
     return;
   }
+  aLink.mCopiedBytes += MemoryOfCopy({}, it->second.mShape);
   BackendRequest request;
   request.mVerb = BackendVerb::Prepare;
   request.mName = ServerSideName(it->second);
@@ -83,6 +90,26 @@
   SendRequest(aContext, aLink, request, ExchangeKind::Preparation);
 }
 
+void
+ResetLink(Context& aContext, Link& aLink)
+{
+  aLink.mValues.clear();
+  aLink.mPrepared.clear();
+  aLink.mCopiedBytes = 0;
+  BackendRequest request;
+  request.mVerb = BackendVerb::Reset;
+  SendRequest(aContext, aLink, request, ExchangeKind::Preparation);
+}
+
+bool
+KeepsTooMuch(const Context& aContext, const Link& aLink)
+{
+  const std::size_t links =
+    std::max<std::size_t>(1, aContext.mState.mLinks.size());
+  return aLink.mCopiedBytes >
+         std::clamp(kMaxAllCopies / links, kMinIdleCopies, kMaxIdleCopies);
+}
+
 std::string
 ServerSideName(const PreparedStatement& aPrepared)
 {
--- a/Source/Gateway/Counters.h
+++ b/Source/Gateway/Counters.h
@@ -19,6 +19,34 @@
   LatencyHistogram mLatency;
 };
 
+/// Counters of the limits of client accounts.
+struct RateLimitCounters
+{
+  /// Operations that got a token, and those that were refused.
+  std::uint64_t mAllowed = 0;
+  std::uint64_t mRefused = 0;
+  /// Tokens given to other hosts.
+  std::uint64_t mGiven = 0;
+};
+
+/// Statements of sessions that were passed on whose owner was lost.
+struct RelayInterruptions
+{
+  std::uint64_t mNotRun = 0;
+  std::uint64_t mUnknown = 0;
+};
+
+/// Callers that were refused for their key.
+struct RefusalCounters
+{
+  /// No account has the key.
+  std::uint64_t mUnknownKey = 0;
+  /// The key belongs to another account than when the operation began.
+  std::uint64_t mOtherAccount = 0;
+  /// The configuration was out of date.
+  std::uint64_t mOutOfDate = 0;
+};
+
 /// Monotonic counters, exported as metrics.
 struct Counters
 {
@@ -44,6 +72,20 @@
   /// primary.
   std::uint64_t mCommitsUnproved = 0;
   std::uint64_t mStoreCalls = 0;
+  RateLimitCounters mRateLimits;
+  /// Sessions passed on to owners, and those that others have passed on here.
+  std::uint64_t mSessionsRelayed = 0;
+  std::uint64_t mSessionsTakenOver = 0;
+  std::uint64_t mStatementsRelayed = 0;
+  RelayInterruptions mRelayInterruptions;
+  /// Sessions that ran here because their owner did not open them.
+  std::uint64_t mRelayFallbacks = 0;
+  std::uint64_t mOwnersPassedOver = 0;
+  RefusalCounters mRefusedSessions;
+  RefusalCounters mRefusedStatements;
+  /// Idle connections that were closed so that another client account could
+  /// open one.
+  std::uint64_t mLinksClosedForOthers = 0;
 };
 
 }
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -8,6 +8,7 @@
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
 #include "Gateway/PeerMessage.h"
+#include "Gateway/Statement.h"
 #include "Gateway/StoreRecord.h"
 #include "Messages/Effect.h"
 #include "Model/Topology.h"
@@ -47,6 +48,13 @@
   SessionId mSession;
 };
 
+/// What a session takes of the process's memory.
+struct ReportSessionMemory
+{
+  SessionId mSession;
+  std::size_t mBytes = 0;
+};
+
 struct OpenLink
 {
   LinkId mLink;
@@ -54,6 +62,9 @@
   std::string mGroup;
   /// The name of the server that is expected at the address.
   std::string mServer;
+  /// The client account in whose name the connection is opened; empty for
+  /// connections that belong to none.
+  std::string mAccount = {};
 };
 
 struct CloseLink
@@ -140,6 +151,46 @@
   PeerReport mReport;
 };
 
+/// Asks the host at an address about accounts' limits, on the connection that
+/// queries use. Dropped if there is none.
+struct SendRateLimitQuery
+{
+  Address mAddress;
+  RateLimitQuery mQuery;
+};
+
+/// Answers another host's question about accounts' limits.
+struct SendRateLimitReport
+{
+  PeerLinkId mLink;
+  RateLimitReport mReport;
+};
+
+/// Opens a session at its owner, another host. Answered by RelayResponse.
+struct OpenRelay
+{
+  RelayId mRelay;
+  std::string mHost;
+  Address mAddress;
+  std::string mDatabase;
+  KeyDigest mKey;
+};
+
+/// Passes a statement on. Answered by RelayResponse or RelayStatementUnsent.
+struct SendOnRelay
+{
+  RelayId mRelay;
+  std::string mHost;
+  Statement mStatement;
+};
+
+/// Ends a session at its owner.
+struct EndRelay
+{
+  RelayId mRelay;
+  std::string mHost;
+};
+
 /// Sets whether this host reports to the load balancer that it is ready for new
 /// callers.
 struct SetReady
@@ -152,6 +203,7 @@
                             AnswerCaller,
                             RefuseSession,
                             CloseSession,
+                            ReportSessionMemory,
                             OpenLink,
                             CloseLink,
                             SendOnLink,
@@ -163,6 +215,11 @@
                             PromoteServer,
                             SendPeerQuery,
                             SendPeerReport,
+                            SendRateLimitQuery,
+                            SendRateLimitReport,
+                            OpenRelay,
+                            SendOnRelay,
+                            EndRelay,
                             SetReady,
                             StopComplete,
                             WriteLogRecord>;
--- a/Source/Gateway/Event.h
+++ b/Source/Gateway/Event.h
@@ -5,9 +5,11 @@
 #include <unordered_map>
 #include <variant>
 
+#include "Accounts/KeyDigest.h"
 #include "Gateway/BackendMessage.h"
 #include "Gateway/Ids.h"
 #include "Gateway/PeerMessage.h"
+#include "Gateway/RelayMessage.h"
 #include "Gateway/Statement.h"
 #include "Gateway/StoreRecord.h"
 
@@ -18,6 +20,10 @@
 {
   SessionId mSession;
   std::string mDatabase;
+  /// The digest of the caller's key; none if it gave no key.
+  KeyDigest mKey = {};
+  /// Whether another host passes the session on to this one.
+  bool mIsRelayed = false;
 };
 
 struct StatementReceived
@@ -83,6 +89,20 @@
   PeerQuery mQuery;
 };
 
+/// Another host asks about accounts' limits.
+struct RateLimitQueryReceived
+{
+  PeerLinkId mLink;
+  RateLimitQuery mQuery;
+};
+
+/// The host that was queried last has answered a question about accounts'
+/// limits.
+struct RateLimitReportReceived
+{
+  RateLimitReport mReport;
+};
+
 /// A part of the report of the host that was queried last has arrived.
 struct PeerReportArriving
 {};
@@ -91,6 +111,19 @@
 struct PeerConnectionLost
 {};
 
+/// A statement was not passed on because too many bytes wait to be sent to the
+/// owner.
+struct RelayStatementUnsent
+{
+  RelayId mRelay;
+};
+
+/// The connection to an owner ended or could not be opened.
+struct RelayConnectionLost
+{
+  std::string mHost;
+};
+
 /// The settings file was reloaded.
 struct SettingsChanged
 {
@@ -98,6 +131,14 @@
   std::unordered_map<std::string, std::string> mRegions;
   /// How long a planned stop may take before the process is killed.
   Duration mStopGrace{ 0 };
+  LimitBounds mLimitBounds = {};
+  /// The most that the values and prepared statements of a session may take, in
+  /// bytes; 0 sets no limit.
+  std::size_t mMaxSessionBytes = 0;
+  /// Whether sessions may be passed on to owners of connections.
+  bool mIsRelaying = false;
+  /// See Identity::mRevokeTimeout.
+  Duration mRevokeTimeout{ 0 };
 };
 
 /// The process has been asked to stop.
@@ -120,7 +161,12 @@
                                PeerQueryReceived,
                                PeerReport,
                                PeerReportArriving,
+                               RateLimitQueryReceived,
+                               RateLimitReportReceived,
                                PeerConnectionLost,
+                               RelayResponse,
+                               RelayStatementUnsent,
+                               RelayConnectionLost,
                                SettingsChanged,
                                StopRequested,
                                TimePassed>;
--- a/Source/Gateway/PeerMessage.h
+++ b/Source/Gateway/PeerMessage.h
@@ -12,6 +12,7 @@
 #include "Gateway/Ids.h"
 #include "Gateway/StoreRecord.h"
 #include "Model/Position.h"
+#include "RateLimits/RateLimitMessage.h"
 #include "Wire/Packed.h"
 
 namespace camphorstep::gateway {
@@ -137,6 +138,42 @@
   }
 };
 
+namespace detail {
+
+/// The configuration that tables bring, or nullptr if they bring none.
+inline RoutingVersion*
+FindRouting(std::vector<TableReport>& aTables)
+{
+  for (TableReport& table : aTables) {
+    if (table.mContent && table.mContent->mRouting) {
+      return &*table.mContent->mRouting;
+    }
+  }
+  return nullptr;
+}
+
+/// Archives the client accounts at the end of a report. Nothing is written for
+/// a deployment that has none, so that its hosts exchange the same bytes as
+/// those that know no accounts.
+template<typename Archive>
+void
+ArchiveAccountRules(Archive& aArchive, std::vector<TableReport>& aTables)
+{
+  RoutingVersion* const routing = FindRouting(aTables);
+  if constexpr (Archive::is_saving::value) {
+    if (routing != nullptr && routing->mAccountRules) {
+      aArchive(routing->mAccountRules);
+    }
+  } else if (aArchive.Left() != 0) {
+    if (routing == nullptr) {
+      throw cereal::Exception("accounts without a configuration");
+    }
+    aArchive(routing->mAccountRules);
+  }
+}
+
+}
+
 /// The answer to a query: the statuses, tables and lease known to a host.
 struct PeerReport
 {
@@ -159,10 +196,34 @@
     ArchivePacked(aArchive, mHeld);
     ArchivePacked(aArchive, mSequence);
     aArchive(mIsPromoter, mServers, mTables, mLease);
+    detail::ArchiveAccountRules(aArchive, mTables);
+  }
+};
+
+/// The version of the messages with which hosts pass sessions on; see
+/// RelayMessage.h.
+constexpr std::uint32_t kRelayVersion = 1;
+
+/// The first message of a connection that passes sessions on; all others on it
+/// are a RelayRequest or a RelayResponse. A host that does not know it, or not
+/// its version, closes the connection.
+struct RelayGreeting
+{
+  std::uint32_t mVersion = kRelayVersion;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    ArchivePacked(aArchive, mVersion);
   }
 };
 
-/// A message between two hosts.
-using PeerMessage = std::variant<PeerQuery, PeerReport>;
+/// A message between two hosts. Those about limits are sent only where accounts
+/// have limits, the greeting only where connections are shared.
+using PeerMessage = std::variant<PeerQuery,
+                                 PeerReport,
+                                 RateLimitQuery,
+                                 RateLimitReport,
+                                 RelayGreeting>;
 
 }
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -11,8 +11,11 @@
 #include "Fleet/FleetState.h"
 #include "Gateway/Counters.h"
 #include "Gateway/Ids.h"
+#include "Gateway/LogLimit.h"
 #include "Gateway/Timers.h"
 #include "Group/GroupState.h"
+#include "RateLimits/RateLimitState.h"
+#include "Relay/RelayState.h"
 #include "Session/SessionState.h"
 
 namespace camphorstep::gateway {
@@ -25,6 +28,14 @@
   std::unordered_map<std::string, std::string> mRegions;
   /// How long a planned stop may take before the process is killed.
   Duration mStopGrace{ 6'000'000 };
+  /// The most that the values and prepared statements of a session may take, in
+  /// bytes; 0 sets no limit.
+  std::size_t mMaxSessionBytes = 0;
+  /// Whether sessions may be passed on to owners of connections.
+  bool mIsRelaying = false;
+  /// Callers with a key are refused once the configuration has not been
+  /// confirmed for this long; zero turns that off.
+  Duration mRevokeTimeout{ 0 };
 };
 
 /// The progress of a planned stop.
@@ -57,7 +68,14 @@
   Catalogue mCatalogue;
   PromoterState mPromoter;
   FleetState mFleet;
+  RateLimitState mRateLimits;
+  RelayState mRelays;
   Counters mCounters;
+  /// Lines on what callers were refused.
+  LogLimit mRefusalLog;
+  /// Limits the log records on callers that are refused for their key.
+  LogLimit mRefusedSessionLog;
+  LogLimit mRefusedStatementLog;
 };
 
 }
--- a/Source/Gateway/Step.cpp
+++ b/Source/Gateway/Step.cpp
@@ -7,11 +7,14 @@
 #include "Fleet/Following.h"
 #include "Fleet/Reports.h"
 #include "Gateway/Context.h"
+#include "Gateway/Readiness.h"
 #include "Gateway/Stopping.h"
 #include "Gateway/Tuning.h"
 #include "Group/Promoter.h"
 #include "Group/Sampling.h"
 #include "Group/Takeover.h"
+#include "RateLimits/RateLimits.h"
+#include "Relay/RelayedSessions.h"
 #include "Session/Execution.h"
 #include "Session/Outcomes.h"
 #include "Session/Sessions.h"
@@ -70,14 +73,39 @@
   {
     HandlePeerReportArriving(mContext);
   }
+  void operator()(const RateLimitQueryReceived& aEvent) const
+  {
+    HandleRateLimitQuery(mContext, aEvent);
+  }
+  void operator()(const RateLimitReportReceived& aEvent) const
+  {
+    HandleRateLimitReport(mContext, aEvent);
+  }
   void operator()(const PeerReport& aEvent) const
   {
     HandlePeerReported(mContext, aEvent);
   }
+  void operator()(const RelayResponse& aEvent) const
+  {
+    HandleRelayResponse(mContext, aEvent);
+  }
+  void operator()(const RelayStatementUnsent& aEvent) const
+  {
+    HandleRelayStatementUnsent(mContext, aEvent);
+  }
+  void operator()(const RelayConnectionLost& aEvent) const
+  {
+    HandleRelayConnectionLost(mContext, aEvent);
+  }
   void operator()(const SettingsChanged& aEvent) const
   {
     mContext.mState.mSelf.mRegions = aEvent.mRegions;
     mContext.mState.mSelf.mStopGrace = aEvent.mStopGrace;
+    mContext.mState.mRateLimits.mBounds = aEvent.mLimitBounds;
+    mContext.mState.mSelf.mMaxSessionBytes = aEvent.mMaxSessionBytes;
+    mContext.mState.mSelf.mIsRelaying = aEvent.mIsRelaying;
+    mContext.mState.mSelf.mRevokeTimeout = aEvent.mRevokeTimeout;
+    UpdateReadiness(mContext);
   }
   void operator()(const StopRequested&) const { BeginStop(mContext); }
   void operator()(const TimePassed&) const {}
@@ -122,9 +150,21 @@
     case TimerKind::SendPeerReports:
       AnswerPendingQueries(aContext);
       break;
+    case TimerKind::Shares:
+      ExchangeShares(aContext);
+      break;
+    case TimerKind::TokenRequests:
+      ExpireTokenRequests(aContext, AccountId{ aId });
+      break;
+    case TimerKind::ConfigurationAge:
+      UpdateReadiness(aContext);
+      break;
     case TimerKind::Stop:
       ContinueStop(aContext);
       break;
+    case TimerKind::Relay:
+      HandleRelayTimer(aContext, SessionId{ aId });
+      break;
   }
 }
 
--- a/Source/Gateway/Timers.h
+++ b/Source/Gateway/Timers.h
@@ -28,7 +28,15 @@
   PromoterLease,
   QueryPeer,
   SendPeerReports,
+  /// Shares of accounts' limits are to be exchanged.
+  Shares,
+  /// Operations of an account have waited for too long for their tokens.
+  TokenRequests,
+  /// The configuration is out of date unless it is confirmed sooner.
+  ConfigurationAge,
   Stop,
+  /// An owner has not opened a session, or answered its statement, in time.
+  Relay,
 };
 
 /// The armed timers, at most one for each kind and number.
--- a/Source/Model/ResultCode.h
+++ b/Source/Model/ResultCode.h
@@ -42,6 +42,7 @@
   TransactionLimit = 203,
   Stopping = 204,
   TooManyConnections = 205,
+  RateLimited = 206,
 
   HistoryLost = 301,
   ReplicaBehind = 302,
@@ -59,6 +60,7 @@
   InvalidProfile = 502,
   StoreUnavailable = 503,
   NoConfiguration = 504,
+  ConfigurationStale = 505,
 
   InvalidSettings = 601,
 };
--- a/Source/Session/Outcomes.cpp
+++ b/Source/Session/Outcomes.cpp
@@ -222,6 +222,7 @@
 CanWait(const ActiveStatement& aActive, Instant aNow)
 {
   switch (aActive.mStage) {
+    case StatementStage::AwaitingToken:
     case StatementStage::AwaitingServer:
     case StatementStage::AwaitingRetry:
       return aNow < aActive.mDeadline;
@@ -245,7 +246,9 @@
   }
   if (aReply.mCode == ResultCode::Ok &&
       aReply.mState == TransactionState::Open) {
+    const SessionId id = session->mId;
     RunActiveStatement(aContext, *session);
+    ContinueSession(aContext, id);
     return;
   }
   if (Backend* const backend = Find(aContext.mState.mBackends, aLink.mServer)) {
--- a/Source/Session/SessionState.h
+++ b/Source/Session/SessionState.h
@@ -26,6 +26,8 @@
 /// The stage of processing of a session's statement.
 enum class StatementStage : std::uint8_t
 {
+  /// Waits for a token of its account's limit.
+  AwaitingToken,
   /// Waits until the group has a proven primary or a fresh replica.
   AwaitingServer,
   /// Waits in the queue of a server.
@@ -70,6 +72,8 @@
   /// The server that refused or lost it last; avoided if there is another.
   ServerId mAvoidedServer;
   QueuePlace mPlace;
+  /// The request for a token that it waits for; zero if it does not.
+  std::uint64_t mTokenRequest = 0;
 };
 
 /// The transaction of a session.
@@ -78,10 +82,14 @@
   TransactionState mState = TransactionState::None;
   bool mReadOnly = false;
   bool mHasWritten = false;
+  /// Whether it was counted against its account's limit.
+  bool mIsAllowed = false;
   /// The number of statements that succeeded in it.
   std::uint32_t mStatements = 0;
   /// The route at its beginning, used until its end.
   std::optional<Route> mRoute;
+  /// Whether that route needs no key.
+  bool mIsPublic = false;
   /// The connection reserved for it; none before its first statement.
   LinkId mLink;
   /// Whether no answer has reported yet that the transaction was aborted.
@@ -100,8 +108,17 @@
 {
   SessionId mId;
   std::string mDatabase;
+  /// The caller's key, and the client account that it belongs to; none on
+  /// public routes and in deployments without accounts.
+  KeyDigest mKey;
+  AccountId mAccount;
   std::map<std::string, std::string> mValues;
   std::map<std::string, PreparedStatement> mPrepared;
+  /// What the values and the prepared statements take, in bytes.
+  std::size_t mValueBytes = 0;
+  std::size_t mPreparedBytes = 0;
+  /// What the shell was last told that the whole session takes.
+  std::size_t mReportedBytes = 0;
   Transaction mTransaction;
   /// The last commit of the session, and the group in which it was made.
   SessionCommit mLastCommit;
--- a/Source/Session/Sessions.cpp
+++ b/Source/Session/Sessions.cpp
@@ -6,18 +6,37 @@
 #include "Backend/Pool.h"
 #include "Gateway/Stopping.h"
 #include "Gateway/Tuning.h"
+#include "RateLimits/RateLimits.h"
+#include "Relay/RelayedSessions.h"
 #include "Session/Answers.h"
+#include "Session/Authorization.h"
 #include "Session/Execution.h"
 #include "Session/Routing.h"
+#include "Session/SessionMemory.h"
 #include "Session/Transactions.h"
 
 namespace camphorstep::gateway {
 
 namespace {
 
-/// The most statements that a caller may send before the answer to an earlier
-/// one. Normal use of the protocol needs only a few.
-constexpr std::size_t kMaxPipeline = 64;
+/// Answers a statement whose value or name the session keeps, or could not keep
+/// within its limit.
+void
+AnswerKept(Context& aContext,
+           Session& aSession,
+           const Statement& aStatement,
+           bool aIsKept)
+{
+  if (aIsKept) {
+    AnswerOk(aContext, aSession);
+    return;
+  }
+  AnswerError(aContext,
+              aSession,
+              aStatement.mId,
+              ResultCode::RequestTooLarge,
+              "the session keeps too many values and prepared statements");
+}
 
 /// Answers a statement that concerns only the session's state. Returns false
 /// for a statement that a server has to run.
@@ -35,16 +54,19 @@
       AnswerOk(aContext, aSession);
       return true;
     case StatementKind::SetValue:
-      aSession.mValues[aStatement.mName] = aStatement.mArgument;
-      AnswerOk(aContext, aSession);
+      AnswerKept(aContext,
+                 aSession,
+                 aStatement,
+                 KeepValue(aContext, aSession, aStatement));
       return true;
     case StatementKind::Prepare:
-      aSession.mPrepared[aStatement.mName] = { aStatement.mWrites,
-                                               aStatement.mArgument };
-      AnswerOk(aContext, aSession);
+      AnswerKept(aContext,
+                 aSession,
+                 aStatement,
+                 KeepPrepared(aContext, aSession, aStatement));
       return true;
     case StatementKind::Deallocate:
-      aSession.mPrepared.erase(aStatement.mName);
+      ForgetPrepared(aSession, aStatement.mName);
       AnswerOk(aContext, aSession);
       return true;
     case StatementKind::Malformed:
@@ -139,6 +161,16 @@
   aSession.mActive = std::move(active);
   aContext.mState.mTimers.Arm(
     TimerKind::Statement, aSession.mId.mValue, aSession.mActive->mDeadline);
+  if (RequestAllowance(aContext, aSession)) {
+    StartActiveStatement(aContext, aSession);
+  }
+}
+
+}
+
+void
+StartActiveStatement(Context& aContext, Session& aSession)
+{
   RunActiveStatement(aContext, aSession);
   if (aSession.mActive && IsWaitHopeless(aContext, aSession)) {
     LeaveQueue(aContext, aSession);
@@ -150,6 +182,8 @@
   }
 }
 
+namespace {
+
 void
 StartStatement(Context& aContext,
                Session& aSession,
@@ -161,16 +195,36 @@
   aContext.mState.mTimers.Cancel(TimerKind::IdleTransaction,
                                  aSession.mId.mValue);
   if (RejectByTransactionState(aContext, aSession, aStatement) ||
+      !AuthorizeStatement(aContext, aSession, aStatement) ||
       AnswerLocally(aContext, aSession, aStatement)) {
     return;
   }
   ActivateStatement(aContext, aSession, aStatement);
 }
 
+Session
+MakeSession(const Context& aContext, const SessionOpened& aEvent)
+{
+  Session session;
+  session.mId = aEvent.mSession;
+  session.mIdleSince = aContext.mNow;
+  session.mDatabase = aEvent.mDatabase;
+  session.mKey = aEvent.mKey;
+  return session;
 }
 
 void
-HandleSessionOpened(Context& aContext, const SessionOpened& aEvent)
+KeepSession(Context& aContext, Session aSession)
+{
+  const SessionId id = aSession.mId;
+  aContext.mState.mSessions.emplace(id, std::move(aSession));
+  ++aContext.mState.mCounters.mSessions;
+}
+
+}
+
+void
+OpenSession(Context& aContext, const SessionOpened& aEvent, SessionPlace aPlace)
 {
   const Catalogue& catalogue = aContext.mState.mCatalogue;
   if (IsRefusingSessions(aContext)) {
@@ -187,31 +241,47 @@
     return;
   }
   if (!catalogue.mRoutes.contains(aEvent.mDatabase)) {
-    Log(aContext,
-        LogSeverity::Info,
-        "session refused: no route has that name",
-        { { "database", aEvent.mDatabase },
-          { "configuration", std::to_string(catalogue.mRoutingVersion) } });
+    LogRefusal(
+      aContext,
+      "session refused: no route has that name",
+      { { "database", aEvent.mDatabase },
+        { "configuration", std::to_string(catalogue.mRoutingVersion) } });
     Emit(aContext,
          RefuseSession{ aEvent.mSession,
                         ResultCode::UnknownDatabase,
                         "no route has that name" });
     return;
   }
-  Session session;
-  session.mId = aEvent.mSession;
-  session.mIdleSince = aContext.mNow;
-  session.mDatabase = aEvent.mDatabase;
-  aContext.mState.mSessions.emplace(session.mId, std::move(session));
-  ++aContext.mState.mCounters.mSessions;
+  Session session = MakeSession(aContext, aEvent);
+  if (!AuthorizeSession(aContext, session)) {
+    return;
+  }
+  if (aPlace == SessionPlace::AnyHost && RelaySession(aContext, aEvent)) {
+    return;
+  }
+  KeepSession(aContext, std::move(session));
   Emit(aContext, AcceptSession{ aEvent.mSession });
 }
 
+void
+OpenLocalSession(Context& aContext, const SessionOpened& aEvent)
+{
+  // Its statements find the account of its key.
+  KeepSession(aContext, MakeSession(aContext, aEvent));
+}
+
+void
+HandleSessionOpened(Context& aContext, const SessionOpened& aEvent)
+{
+  OpenSession(aContext, aEvent, SessionPlace::AnyHost);
+}
+
 void
 HandleStatementReceived(Context& aContext, const StatementReceived& aEvent)
 {
   Session* const session = Find(aContext.mState.mSessions, aEvent.mSession);
   if (session == nullptr) {
+    HandleRelayedStatement(aContext, aEvent);
     return;
   }
   if (session->mPipeline.size() >= kMaxPipeline) {
@@ -238,7 +308,11 @@
     StartStatement(aContext, *session, statement);
     session = Find(aContext.mState.mSessions, aSession);
   }
-  if (session == nullptr || session->mActive) {
+  if (session == nullptr) {
+    return;
+  }
+  ReportMemory(aContext, *session);
+  if (session->mActive) {
     return;
   }
   session->mIdleSince = aContext.mNow;
@@ -256,6 +330,7 @@
 {
   Session* const session = Find(aContext.mState.mSessions, aEvent.mSession);
   if (session == nullptr) {
+    EndRelayedSession(aContext, aEvent.mSession);
     return;
   }
   AbandonStatement(aContext, *session);
--- a/Source/Shell/FramedConnection.cpp
+++ b/Source/Shell/FramedConnection.cpp
@@ -5,18 +5,12 @@
 
 namespace camphorstep {
 
-namespace {
-
-constexpr std::size_t kReadSize = 64 * 1024;
-
-}
-
-FramedConnection::FramedConnection(Handlers aHandlers)
+FramedConnection::FramedConnection(Handlers aHandlers, std::size_t aReadSize)
   : mHandlers(std::move(aHandlers))
   , mSocket({ [this] { mHandlers.mOnConnected(); },
               [this](std::string_view aBytes) { HandleData(aBytes); },
               [this](bool) { mHandlers.mOnClosed(); } },
-            kReadSize)
+            aReadSize)
 {
 }
 
@@ -34,6 +28,12 @@
   mSocket.Accept(aLoop, aListener);
 }
 
+void
+FramedConnection::LimitSilence(std::chrono::milliseconds aLimit)
+{
+  mSocket.LimitSilence(aLimit);
+}
+
 void
 FramedConnection::Send(std::string_view aPayload)
 {
@@ -47,6 +47,13 @@
   mSocket.Close();
 }
 
+void
+FramedConnection::Abort()
+{
+  mSocket.Abort();
+  mInput = FrameBuffer();
+}
+
 void
 FramedConnection::HandleData(std::string_view aBytes)
 {
--- a/Source/Shell/FramedConnection.h
+++ b/Source/Shell/FramedConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -25,7 +26,12 @@
     std::function<void()> mOnClosed;
   };
 
-  explicit FramedConnection(Handlers aHandlers);
+  static constexpr std::size_t kLargeReads = 64 * 1024;
+  static constexpr std::size_t kSmallReads = 4 * 1024;
+
+  /// Reads at most some bytes at a time.
+  explicit FramedConnection(Handlers aHandlers,
+                            std::size_t aReadSize = kLargeReads);
 
   FramedConnection(const FramedConnection&) = delete;
   FramedConnection& operator=(const FramedConnection&) = delete;
@@ -37,6 +43,9 @@
   void Accept(cxxtools::SelectorBase& aLoop,
               const cxxtools::net::TcpServer& aListener);
 
+  /// As StreamSocket::LimitSilence.
+  void LimitSilence(std::chrono::milliseconds aLimit);
+
   /// Sends one frame, now or when the socket takes it.
   void Send(std::string_view aPayload);
 
@@ -45,6 +54,18 @@
 
   bool IsClosed() const { return mSocket.IsClosed(); }
 
+  /// Ends the connection and drops what the other side does not have yet.
+  void Abort();
+
+  /// Limits the bytes that the system receives ahead of the process.
+  void LimitReceiveBuffer(int aBytes) { mSocket.LimitReceiveBuffer(aBytes); }
+
+  /// What frames that are not complete take of the memory.
+  std::size_t HeldBytes() const { return mInput.Capacity(); }
+
+  /// The number of bytes that wait to be sent.
+  std::size_t UnsentBytes() const { return mSocket.UnsentBytes(); }
+
   /// The number of bytes of an incomplete frame that have arrived.
   std::size_t PendingBytes() const { return mInput.Pending(); }
 
--- a/Source/Shell/GatewayMetrics.cpp
+++ b/Source/Shell/GatewayMetrics.cpp
@@ -43,6 +43,16 @@
   return family;
 }
 
+std::vector<MetricSample>
+RefusalSamples(const gateway::RefusalCounters& aCounters)
+{
+  return {
+    { { { "reason", "unknown key" } }, aCounters.mUnknownKey },
+    { { { "reason", "key of another account" } }, aCounters.mOtherAccount },
+    { { { "reason", "configuration out of date" } }, aCounters.mOutOfDate },
+  };
+}
+
 /// Counters without labels.
 std::vector<prometheus::MetricFamily>
 PlainCounters(const gateway::Counters& aCounters)
@@ -81,12 +91,65 @@
       "Commits whose answer was not passed on, by reason.",
       { { { { "reason", "term ended" } }, aCounters.mCommitsOfEndedTerm },
         { { { "reason", "no evidence" } }, aCounters.mCommitsUnproved } }),
+    MakeCounter(
+      "camphorstep_limited_operations_total",
+      "Operations of client accounts with a limit, by what came of them.",
+      { { { { "outcome", "allowed" } }, aCounters.mRateLimits.mAllowed },
+        { { { "outcome", "refused" } }, aCounters.mRateLimits.mRefused } }),
+    MakeCounter("camphorstep_limit_tokens_given_total",
+                "Operations that this host allowed other hosts.",
+                { { {}, aCounters.mRateLimits.mGiven } }),
+    MakeCounter("camphorstep_sessions_relayed_total",
+                "Sessions that were passed on to the owners of connections.",
+                { { {}, aCounters.mSessionsRelayed } }),
+    MakeCounter("camphorstep_sessions_taken_over_total",
+                "Sessions that other hosts passed on to this one.",
+                { { {}, aCounters.mSessionsTakenOver } }),
+    MakeCounter("camphorstep_statements_relayed_total",
+                "Statements that were passed on.",
+                { { {}, aCounters.mStatementsRelayed } }),
+    MakeCounter(
+      "camphorstep_statements_interrupted_total",
+      "Statements whose owner was lost, by outcome.",
+      { { { { "outcome", "not run" } }, aCounters.mRelayInterruptions.mNotRun },
+        { { { "outcome", "unknown" } },
+          aCounters.mRelayInterruptions.mUnknown } }),
+    MakeCounter("camphorstep_relay_fallbacks_total",
+                "Sessions that their owner did not open and that ran here.",
+                { { {}, aCounters.mRelayFallbacks } }),
+    MakeCounter("camphorstep_owners_passed_over_total",
+                "How often an owner of connections was passed over.",
+                { { {}, aCounters.mOwnersPassedOver } }),
+    MakeCounter("camphorstep_sessions_refused_total",
+                "Sessions that were refused for the caller's key, by reason.",
+                RefusalSamples(aCounters.mRefusedSessions)),
+    MakeCounter("camphorstep_statements_refused_total",
+                "Statements that were refused for the caller's key, by reason.",
+                RefusalSamples(aCounters.mRefusedStatements)),
+    MakeCounter("camphorstep_server_connections_replaced_total",
+                "Idle connections that were closed so that another client "
+                "account could open one.",
+                { { {}, aCounters.mLinksClosedForOthers } }),
     MakeCounter("camphorstep_store_calls_total",
                 "Calls to the platform's store.",
                 { { {}, aCounters.mStoreCalls } }),
   };
 }
 
+prometheus::MetricFamily
+MakeRefusals(const CallerCounters& aCallers)
+{
+  return MakeCounter(
+    "camphorstep_callers_refused_total",
+    "Callers' connections that were refused or closed, by reason.",
+    { { { { "reason", "no memory" } }, aCallers.mRefusedForMemory },
+      { { { "reason", "no descriptors" } }, aCallers.mRefusedForDescriptors },
+      { { { "reason", "held the most" } }, aCallers.mClosedForMemory },
+      { { { "reason", "not opened" } }, aCallers.mOverdueOpenings },
+      { { { "reason", "message not finished" } }, aCallers.mOverdueMessages },
+      { { { "reason", "answer not read" } }, aCallers.mUnreadAnswers } });
+}
+
 std::vector<prometheus::MetricFamily>
 Gauges(const gateway::State& aState)
 {
@@ -94,9 +157,22 @@
     MakeGauge("camphorstep_configuration_version",
               "The configuration in force.",
               { { {}, aState.mCatalogue.mRoutingVersion } }),
+    MakeGauge("camphorstep_client_accounts",
+              "The client accounts in force.",
+              { { {},
+                  aState.mCatalogue.mAccounts
+                    ? aState.mCatalogue.mAccounts->mRules.mAccounts.size()
+                    : 0 } }),
+    MakeGauge("camphorstep_configuration_out_of_date",
+              "Whether callers with a key are refused because the "
+              "configuration has not been confirmed in time.",
+              { { {}, aState.mCatalogue.mIsOutOfDate ? 1U : 0U } }),
     MakeGauge("camphorstep_open_sessions",
               "Sessions that callers hold.",
               { { {}, aState.mSessions.size() } }),
+    MakeGauge("camphorstep_relayed_sessions",
+              "Sessions that this host passes on to owners.",
+              { { {}, aState.mRelays.mSessions.size() } }),
     MakeGauge("camphorstep_server_connections",
               "Connections to backend servers.",
               { { {}, aState.mLinks.size() } }),
@@ -109,7 +185,7 @@
 }
 
 std::string
-MetricsText(const gateway::State& aState)
+MetricsText(const gateway::State& aState, const CallerCounters& aCallers)
 {
   const gateway::Counters& counters = aState.mCounters;
   std::vector<prometheus::MetricFamily> families = PlainCounters(counters);
@@ -122,6 +198,10 @@
                 "Reads by the role of the server that served them.",
                 { { { { "role", "replica" } }, counters.mReplicaReads },
                   { { { "role", "primary" } }, counters.mPrimaryReads } }));
+  families.push_back(MakeRefusals(aCallers));
+  families.push_back(MakeGauge("camphorstep_caller_memory_bytes",
+                               "What callers' connections and sessions hold.",
+                               { { {}, aCallers.mHeldBytes } }));
   for (prometheus::MetricFamily& family : Gauges(aState)) {
     families.push_back(std::move(family));
   }
--- a/Tests/Platform/Standin/GroupStandin.cpp
+++ b/Tests/Platform/Standin/GroupStandin.cpp
@@ -104,6 +104,7 @@
   for (const auto& connection : server.mConnections) {
     connection->mLines->Socket().Close();
     connection->mPending.clear();
+    connection->mIsEnded = true;
   }
 }
 
@@ -227,6 +228,15 @@
   }
 }
 
+void
+GroupStandin::OnTimer()
+{
+  for (const auto& server : mServers) {
+    server->CollectEnded();
+  }
+  Advance();
+}
+
 GroupStandin::Server::Server(GroupStandin& aGroup,
                              cxxtools::SelectorBase& aLoop,
                              std::string aName,
@@ -264,6 +274,9 @@
 void
 GroupStandin::Server::OnPending(cxxtools::net::TcpServer& aListener)
 {
+  std::erase_if(mConnections, [](const auto& aConnection) {
+    return aConnection->mLines->Socket().IsClosed();
+  });
   mConnections.push_back(std::make_unique<Connection>());
   Connection* const connection = mConnections.back().get();
   connection->mLines = std::make_unique<platform::LineConnection>(
@@ -272,10 +285,17 @@
       [this, connection](std::string_view aLine) {
         Handle(*connection, aLine);
       },
-      [](bool) {} });
+      [connection](bool) { connection->mIsEnded = true; } });
   connection->mLines->Socket().Accept(mLoop, aListener);
 }
 
+void
+GroupStandin::Server::CollectEnded()
+{
+  std::erase_if(mConnections,
+                [](const auto& aConnection) { return aConnection->mIsEnded; });
+}
+
 void
 GroupStandin::Server::Handle(Connection& aConnection, std::string_view aLine)
 {
@@ -283,7 +303,7 @@
   if (message.mWord == "STARTUP") {
     std::string_view rest = message.mRest;
     const std::string_view group = TakeField(rest);
-    TakeField(rest);
+    aConnection.mAccount = TakeField(rest);
     const bool good = group == mGroup.mName && (rest.empty() || rest == mName);
     aConnection.mStarted = good;
     aConnection.mLines->Socket().Append(
@@ -299,6 +319,9 @@
                                   std::string_view aFields)
 {
   const std::string id(TakeField(aFields));
+  if (id != "-" && mGroup.mOnStatement) {
+    mGroup.mOnStatement(id, aConnection.mAccount);
+  }
   const std::string answer = Run(aConnection, id, aFields);
   const std::string whole = answer + "READY " +
                             std::string(1, aConnection.mState) + " " +
@@ -444,8 +467,17 @@
   }
   return std::string("ROW ") + (mPrimary ? "primary " : "replica ") +
          std::to_string(mTerm) + " " + PositionText() + " " +
-         std::to_string(mPauseTerm) + " 0 0 " +
-         std::to_string(mConnections.size()) + "\r\n" + kDone;
+         std::to_string(mPauseTerm) + " 0 0 " + std::to_string(CountOpen()) +
+         "\r\n" + kDone;
+}
+
+std::size_t
+GroupStandin::Server::CountOpen() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mConnections.begin(), mConnections.end(), [](const auto& aConnection) {
+      return !aConnection->mLines->Socket().IsClosed();
+    }));
 }
 
 std::string
--- a/Tests/Promotions/WorldHosts.cpp
+++ b/Tests/Promotions/WorldHosts.cpp
@@ -349,6 +349,11 @@
     OpenConnection(mWorld, mHost, aEffect);
   }
   void operator()(const CloseLink&) const {}
+  // Hosts pass no sessions on unless their settings permit it.
+  void operator()(const ReportSessionMemory&) const {}
+  void operator()(const OpenRelay&) const {}
+  void operator()(const SendOnRelay&) const {}
+  void operator()(const EndRelay&) const {}
   void operator()(const SendOnLink& aEffect) const
   {
     SendToServer(mWorld, mHost, aEffect);
@@ -435,6 +440,9 @@
     }
   }
   void operator()(const RemoveHostEntry&) const {}
+  // No account of this world has a limit.
+  void operator()(const SendRateLimitQuery&) const {}
+  void operator()(const SendRateLimitReport&) const {}
   void operator()(const SetReady&) const {}
   void operator()(const StopComplete&) const {}
 };
