--- a/review/standins-2/database.py
+++ b/review/standins-2/database.py
@@ -40,8 +40,10 @@
     """The servers of one service, and the platform's call to promote one."""
 
     def __init__(self, name, ports, zones, slots, max_conns, record,
-                 work_s=0.003):
+                 work_s=0.003, promote_s=PROMOTE_S):
         self.name = name
+        self.promote_s = promote_s
+        self.on_order = None
         self.record = record
         self.work_s = work_s
         self.gateways = []
@@ -116,9 +118,11 @@
         if server is None or server.down:
             return 409
         self.record.say(f"the platform is asked to promote {server_id}")
+        if self.on_order is not None:
+            self.on_order(server)
         if not server.primary:
             asyncio.get_running_loop().call_later(
-                PROMOTE_S, lambda: None if server.down else self.lead(server))
+                self.promote_s, lambda: None if server.down else self.lead(server))
         return 200
 
 
@@ -155,11 +159,11 @@
             writer.transport.abort()
         self.writers.clear()
 
-    async def cut(self, seconds, gateways):
-        """A partition from the other servers and some gateways, to which the
-        server does not respond. What is sent to it meanwhile is lost, since its
+    async def cut(self, seconds, gateways, alone=True):
+        """A partition from some gateways, to which the server does not respond,
+        and from the other servers. What is sent to it meanwhile is lost, since its
         senders give up and reset."""
-        self.alone = True
+        self.alone = alone
         self.cut_from = set(gateways)
         await asyncio.sleep(seconds)
         for writer, gateway in list(self.writers.items()):
