--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 # without the disruptions.
 cd "$(dirname "$0")" || exit 2
 export PYTHONDONTWRITEBYTECODE=1
-exec timeout --kill-after=5 118 python3 case.py
+exec timeout --preserve-status --kill-after=5 110 python3 case.py
--- a/review/standins-2/database.py
+++ b/review/standins-2/database.py
@@ -147,7 +147,6 @@
         self.slot = asyncio.Semaphore(database.slots)
         self.listener = None
         self.born = int(time.time() * 1000)
-        self.heard_at = time.monotonic()
         self.state = "ready"
         self.first_check_in = 0.0
 
@@ -173,7 +172,8 @@
         self.alone = False
 
     async def crash(self, seconds):
-        """The process ends, and comes back with its log."""
+        """The process ends, and comes back at its address under a new Id, with its
+        log."""
         self.down = True
         self.listener.close()
         self.drop_connections()
@@ -181,6 +181,7 @@
         self.pause_term = 0
         self.primary = self.primary and self.term == self.database.newest_term
         self.born = int(time.time() * 1000)
+        self.id += "r"
         self.down = False
         await self.listen()
 
@@ -322,15 +323,16 @@
     seq = 0
     listed = {}
     due = {}
+    heard = {}
     while not stopped.is_set():
         now = time.monotonic()
+        heard.update((s.id, now) for s in database.servers if not s.down)
+        for name in [n for n in listed if now - heard[n] > CHECK_IN_LIMIT_S]:
+            del listed[name]
+            await store.put("servers", name, None)
         for server in list(database.servers):
             if server.down:
-                if now - server.heard_at > CHECK_IN_LIMIT_S and server.id in listed:
-                    del listed[server.id]
-                    await store.put("servers", server.id, None)
                 continue
-            server.heard_at = now
             shown = (server.primary, server.born, server.state)
             is_due = now >= due.get(server.id, server.first_check_in)
             if not is_due and listed.get(server.id, shown) == shown:
