--- a/Source/Catalogue/CatalogueState.h
+++ b/Source/Catalogue/CatalogueState.h
@@ -53,6 +53,9 @@
   bool mRegistered = false;
   /// The store's version that it got.
   StoreVersion mRegisteredVersion = 0;
+  /// The newest retired term of each group that has one; see
+  /// Group/RetiredTerms.h.
+  std::map<GroupId, Term> mRetiredTerms;
 };
 
 /// The lease on promotions, as this host knows it.
@@ -81,13 +84,13 @@
   /// when it learned of that. No other host has held the lease since.
   std::uint64_t mFirstToken = 0;
   Instant mHeldSince;
-  /// The lists of copies in the store, by group.
-  std::map<std::string, std::vector<DataCopy>> mStoredCopies;
+  /// The records of the groups in the store, by group.
+  std::map<std::string, GroupRecord> mStoredRecords;
   /// Whether they have been read since this host last took the lease from
   /// another one. Until then it replaces no primary.
-  bool mHasReadCopies = false;
-  /// The lists in the write that is underway.
-  std::vector<GroupCopies> mWrittenCopies;
+  bool mHasReadRecords = false;
+  /// The records in the write that is underway.
+  std::vector<GroupRecord> mWrittenRecords;
 };
 
 }
--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -172,8 +172,8 @@
       whole.mServers.end(), aPage.mServers.begin(), aPage.mServers.end());
     whole.mHosts.insert(
       whole.mHosts.end(), aPage.mHosts.begin(), aPage.mHosts.end());
-    whole.mCopies.insert(
-      whole.mCopies.end(), aPage.mCopies.begin(), aPage.mCopies.end());
+    whole.mRecords.insert(
+      whole.mRecords.end(), aPage.mRecords.begin(), aPage.mRecords.end());
     whole.mLease = aPage.mLease ? aPage.mLease : whole.mLease;
     whole.mRouting = aPage.mRouting ? aPage.mRouting : whole.mRouting;
     whole.mStoreTime = aPage.mStoreTime;
@@ -318,7 +318,7 @@
   }
   if (answer->mTable == Table::Fleet) {
     ApplyStoredLease(aContext, *answer);
-    ApplyStoredCopies(aContext, *answer, progress.mCalledAt);
+    ApplyStoredRecords(aContext, *answer, progress.mCalledAt);
   }
   // Another host may have told of a later version meanwhile.
   if (progress.mKnown && answer->mVersion < progress.mVersion) {
--- a/Source/Gateway/Effect.h
+++ b/Source/Gateway/Effect.h
@@ -111,14 +111,14 @@
   std::string mName;
 };
 
-/// Writes the promoter's lease, and with it lists of copies, on the condition
-/// that the lease's row still has the version mLease.mRowVersion. Answered by
-/// StoreWritten.
+/// Writes the promoter's lease, and with it records of groups, on the
+/// condition that the lease's row still has the version mLease.mRowVersion.
+/// Answered by StoreWritten.
 struct WriteLease
 {
   CallId mCall;
   PromoterLease mLease;
-  std::vector<GroupCopies> mCopies;
+  std::vector<GroupRecord> mRecords;
 };
 
 /// Requests the platform to promote a server. Answered by PromoteAnswered. The
--- a/Source/Gateway/StoreRecord.h
+++ b/Source/Gateway/StoreRecord.h
@@ -10,6 +10,7 @@
 #include "Common/Time.h"
 #include "Gateway/Ids.h"
 #include "Gateway/StoreVersion.h"
+#include "Model/Position.h"
 #include "Model/Profile.h"
 #include "Model/Topology.h"
 #include "Wire/Packed.h"
@@ -179,11 +180,17 @@
   bool operator==(const DataCopy&) const = default;
 };
 
-/// The copies of a group's data, as its promoter last recorded them. Sorted.
-struct GroupCopies
+/// What a promoter has recorded of a group.
+struct GroupRecord
 {
   std::string mGroup;
+  /// The copies of the group's data. Sorted.
   std::vector<DataCopy> mCopies;
+  /// The newest retired term: its primary, and those of all terms before, may
+  /// have been replaced. Zero if there is none.
+  Term mRetiredTerm = 0;
+
+  bool operator==(const GroupRecord&) const = default;
 };
 
 /// A change of one row. Without an entry the row was removed or is not valid.
@@ -226,7 +233,7 @@
   std::vector<RowChange<ServerEntry>> mServers;
   std::vector<RowChange<HostEntry>> mHosts;
   std::optional<PromoterLease> mLease;
-  std::vector<GroupCopies> mCopies;
+  std::vector<GroupRecord> mRecords;
 };
 
 }
--- a/Source/Group/Copies.cpp
+++ b/Source/Group/Copies.cpp
@@ -5,13 +5,14 @@
 
 #include "Gateway/Tuning.h"
 #include "Group/Promoter.h"
+#include "Group/RetiredTerms.h"
 
 namespace camphorstep::gateway {
 
 namespace {
 
-/// The most lists in one write; the store accepts 100 rows in a transaction.
-constexpr std::size_t kMaxListsPerWrite = 50;
+/// The most records in one write; the store accepts 100 rows in a transaction.
+constexpr std::size_t kMaxRecordsPerWrite = 50;
 
 DataCopy
 CopyOf(const ServerEntry& aEntry)
@@ -41,7 +42,7 @@
   }
 }
 
-/// The copies that the store's list should name.
+/// The copies that the store's record should name.
 std::vector<DataCopy>
 NeededCopies(const Context& aContext, const Group& aGroup)
 {
@@ -58,6 +59,18 @@
   return copies;
 }
 
+/// The record that the store should have of a group.
+GroupRecord
+NeededRecord(const Context& aContext, const Group& aGroup)
+{
+  const Term before = std::max<Term>(aGroup.mTerm, 1) - 1;
+  return { aGroup.mName,
+           NeededCopies(aContext, aGroup),
+           std::max({ before,
+                      RetiredTermOf(aContext, aGroup),
+                      aGroup.mTakeover.mRetiredTerm }) };
+}
+
 /// Returns a replica that has received all that the primary had when its status
 /// was requested; nullptr if there is none. The replica reports the primary's
 /// term, so its log does not differ from the primary's.
@@ -98,7 +111,7 @@
 }
 
 void
-AdoptCopies(Context& aContext, const GroupCopies& aStored)
+AdoptCopies(Context& aContext, const GroupRecord& aStored)
 {
   Group& group = aContext.mState.mGroups[IdOf<GroupId>(aStored.mGroup)];
   group.mId = IdOf<GroupId>(aStored.mGroup);
@@ -187,37 +200,46 @@
   }
 }
 
-std::vector<GroupCopies>
-CopiesToRecord(const Context& aContext)
+bool
+IsRecordStored(const Context& aContext, const Group& aGroup)
 {
-  const PromoterState& promoter = aContext.mState.mPromoter;
-  std::vector<GroupCopies> changed;
-  if (!promoter.mHasReadCopies || !HoldsPromoterLease(aContext)) {
+  const auto& stored = aContext.mState.mPromoter.mStoredRecords;
+  const auto found = stored.find(aGroup.mName);
+  const GroupRecord needed = NeededRecord(aContext, aGroup);
+  return found == stored.end()
+           ? needed.mCopies.empty() && needed.mRetiredTerm == 0
+           : found->second == needed;
+}
+
+std::vector<GroupRecord>
+RecordsToWrite(const Context& aContext)
+{
+  std::vector<GroupRecord> changed;
+  if (!aContext.mState.mPromoter.mHasReadRecords ||
+      !HoldsPromoterLease(aContext)) {
     return changed;
   }
   for (const auto& [id, group] : aContext.mState.mGroups) {
-    std::vector<DataCopy> copies = NeededCopies(aContext, group);
-    const auto stored = promoter.mStoredCopies.find(group.mName);
-    const bool isStored = stored != promoter.mStoredCopies.end()
-                            ? stored->second == copies
-                            : copies.empty();
-    if (!isStored && changed.size() < kMaxListsPerWrite) {
-      changed.push_back({ group.mName, std::move(copies) });
+    if (!IsRecordStored(aContext, group) &&
+        changed.size() < kMaxRecordsPerWrite) {
+      changed.push_back(NeededRecord(aContext, group));
     }
   }
   return changed;
 }
 
 void
-ApplyRecordedCopies(Context& aContext, const std::vector<GroupCopies>& aGroups)
+ApplyWrittenRecords(Context& aContext, const std::vector<GroupRecord>& aRecords)
 {
-  for (const GroupCopies& written : aGroups) {
-    aContext.mState.mPromoter.mStoredCopies[written.mGroup] = written.mCopies;
+  for (const GroupRecord& written : aRecords) {
+    aContext.mState.mPromoter.mStoredRecords[written.mGroup] = written;
+    NoteRetiredTerm(aContext, written.mGroup, written.mRetiredTerm);
     Group* const group =
       Find(aContext.mState.mGroups, IdOf<GroupId>(written.mGroup));
     if (group == nullptr) {
       continue;
     }
+    NoteRetirement(aContext, *group);
     std::erase_if(group->mFormerCopies, [&](const FormerCopy& aFormer) {
       return aFormer.mIsCovered &&
              std::find(written.mCopies.begin(),
@@ -226,37 +248,44 @@
     });
     Log(aContext,
         LogSeverity::Info,
-        "the store has the list of a group's copies",
+        "the store has the record of a group",
         { { "group", written.mGroup },
-          { "copies", std::to_string(written.mCopies.size()) } });
+          { "copies", std::to_string(written.mCopies.size()) },
+          { "retired_term", std::to_string(written.mRetiredTerm) } });
   }
 }
 
 void
-ApplyStoredCopies(Context& aContext,
-                  const TableAnswer& aAnswer,
-                  Instant aAskedAt)
+ApplyStoredRecords(Context& aContext,
+                   const TableAnswer& aAnswer,
+                   Instant aAskedAt)
 {
   PromoterState& promoter = aContext.mState.mPromoter;
+  for (const GroupRecord& stored : aAnswer.mRecords) {
+    NoteRetiredTerm(aContext, stored.mGroup, stored.mRetiredTerm);
+  }
   if (!aAnswer.mIsSnapshot) {
     return;
   }
-  promoter.mStoredCopies.clear();
-  for (const GroupCopies& stored : aAnswer.mCopies) {
-    promoter.mStoredCopies[stored.mGroup] = stored.mCopies;
+  promoter.mStoredRecords.clear();
+  for (const GroupRecord& stored : aAnswer.mRecords) {
+    promoter.mStoredRecords[stored.mGroup] = stored;
+  }
+  for (auto& [id, group] : aContext.mState.mGroups) {
+    NoteRetirement(aContext, group);
   }
-  if (promoter.mHasReadCopies || !HoldsPromoterLease(aContext) ||
+  if (promoter.mHasReadRecords || !HoldsPromoterLease(aContext) ||
       aAskedAt < promoter.mHeldSince) {
     return;
   }
-  promoter.mHasReadCopies = true;
-  for (const GroupCopies& stored : aAnswer.mCopies) {
+  promoter.mHasReadRecords = true;
+  for (const GroupRecord& stored : aAnswer.mRecords) {
     AdoptCopies(aContext, stored);
   }
   Log(aContext,
       LogSeverity::Info,
-      "the lists of the groups' copies are read",
-      { { "groups", std::to_string(aAnswer.mCopies.size()) },
+      "the records of the groups are read",
+      { { "groups", std::to_string(aAnswer.mRecords.size()) },
         { "version", std::to_string(aAnswer.mVersion) },
         { "fencing_token", std::to_string(promoter.mLease.mToken) } });
 }
--- a/Source/Group/Copies.h
+++ b/Source/Group/Copies.h
@@ -27,18 +27,22 @@
 /// promoter does not count more.
 void DropFormerCopies(Context& aContext, Group& aGroup);
 
-/// Returns the copies of the groups whose list in the store is out of date;
-/// nothing if this host has not read the lists as the promoter.
-std::vector<GroupCopies> CopiesToRecord(const Context& aContext);
+/// Whether the store's record of a group is the one that is needed, as far as
+/// this host knows.
+bool IsRecordStored(const Context& aContext, const Group& aGroup);
 
-/// Applies a write of lists that the store has confirmed.
-void ApplyRecordedCopies(Context& aContext,
-                         const std::vector<GroupCopies>& aGroups);
+/// Returns the records of the groups for which the store's are out of date;
+/// nothing if this host has not read them as the promoter.
+std::vector<GroupRecord> RecordsToWrite(const Context& aContext);
 
-/// Applies the lists from a read of the whole fleet table that was sent at
+/// Applies a write of records that the store has confirmed.
+void ApplyWrittenRecords(Context& aContext,
+                         const std::vector<GroupRecord>& aRecords);
+
+/// Applies the records from a read of the fleet table that was sent at
 /// aAskedAt.
-void ApplyStoredCopies(Context& aContext,
-                       const TableAnswer& aAnswer,
-                       Instant aAskedAt);
+void ApplyStoredRecords(Context& aContext,
+                        const TableAnswer& aAnswer,
+                        Instant aAskedAt);
 
 }
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -5,6 +5,7 @@
 
 #include "Gateway/Tuning.h"
 #include "Group/Copies.h"
+#include "Group/RetiredTerms.h"
 #include "Group/Sampling.h"
 #include "Group/Takeover.h"
 #include "Session/Routing.h"
@@ -200,7 +201,8 @@
 Backend*
 ConfirmedPrimary(Context& aContext, const Group& aGroup)
 {
-  if (aContext.mNow + kEvidenceMargin >= EvidenceEnd(aContext, aGroup)) {
+  if (IsTermRetired(aContext, aGroup) ||
+      aContext.mNow + kEvidenceMargin >= EvidenceEnd(aContext, aGroup)) {
     return nullptr;
   }
   return Find(aContext.mState.mBackends, aGroup.mPrimary);
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -59,6 +59,10 @@
   ServerId mOldPrimary;
   Instant mStartedAt;
   Instant mFencedAt;
+  /// The term that has to be retired before a promotion is ordered, and since
+  /// when the store is known to have it so. Zero until the fence is complete.
+  Term mRetiredTerm = 0;
+  std::optional<Instant> mRetiredAt;
   ServerId mCandidate;
   CallId mCall;
   /// When the newest order to promote was given, and its id.
--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -23,8 +23,8 @@
 /// to claim. There are many such hosts, so their claims are spread wider.
 constexpr Duration kFollowerClaimDelay = 3s;
 constexpr Duration kMaxFollowerClaimDelay = 5s;
-/// The interval between writes of the lease while lists of copies are to be
-/// recorded with it.
+/// The interval between writes of the lease while records of groups are to be
+/// written with it.
 constexpr Duration kMinLeaseWriteInterval = 500ms;
 /// The first token of an era is higher than all of the era before, including
 /// those that the store has lost.
@@ -108,7 +108,7 @@
 void
 WriteLeaseRow(Context& aContext,
               const PromoterLease& aLease,
-              std::vector<GroupCopies> aCopies = {})
+              std::vector<GroupRecord> aRecords = {})
 {
   PromoterState& promoter = aContext.mState.mPromoter;
   const bool isRepeated =
@@ -118,22 +118,39 @@
     promoter.mWrittenLeaseAt = aContext.mNow;
   }
   promoter.mWrittenLease = aLease;
-  promoter.mWrittenCopies = std::move(aCopies);
+  promoter.mWrittenRecords = std::move(aRecords);
   promoter.mCall = NewId<CallId>(aContext);
   promoter.mCallSentAt = aContext.mNow;
   ++aContext.mState.mCounters.mStoreCalls;
-  Emit(aContext, WriteLease{ promoter.mCall, aLease, promoter.mWrittenCopies });
+  Emit(aContext,
+       WriteLease{ promoter.mCall, aLease, promoter.mWrittenRecords });
+}
+
+/// The least time between two writes of the lease. A takeover waits for the
+/// record of the term that it retires.
+Duration
+WriteInterval(const Context& aContext, bool aHasRecords)
+{
+  if (!aHasRecords) {
+    return kPromoterRenewInterval;
+  }
+  const auto& groups = aContext.mState.mGroups;
+  const bool isTakeoverWaiting =
+    std::any_of(groups.begin(), groups.end(), [](const auto& aEntry) {
+      const Takeover& takeover = aEntry.second.mTakeover;
+      return takeover.mRetiredTerm != 0 && !takeover.mRetiredAt;
+    });
+  return isTakeoverWaiting ? Duration{ 0 } : kMinLeaseWriteInterval;
 }
 
 void
 RenewLease(Context& aContext)
 {
   const PromoterState& promoter = aContext.mState.mPromoter;
-  std::vector<GroupCopies> copies = CopiesToRecord(aContext);
-  const Duration interval =
-    copies.empty() ? kPromoterRenewInterval : kMinLeaseWriteInterval;
+  std::vector<GroupRecord> records = RecordsToWrite(aContext);
+  const Duration interval = WriteInterval(aContext, !records.empty());
   if (aContext.mNow - promoter.mCallSentAt >= interval) {
-    WriteLeaseRow(aContext, promoter.mLease, std::move(copies));
+    WriteLeaseRow(aContext, promoter.mLease, std::move(records));
   }
 }
 
@@ -169,11 +186,11 @@
 ReleaseLease(Context& aContext)
 {
   PromoterState& promoter = aContext.mState.mPromoter;
-  std::vector<GroupCopies> copies = CopiesToRecord(aContext);
+  std::vector<GroupRecord> records = RecordsToWrite(aContext);
   promoter.mHeldUntil = Instant{};
   PromoterLease lease = promoter.mLease;
   lease.mHolder.clear();
-  WriteLeaseRow(aContext, lease, std::move(copies));
+  WriteLeaseRow(aContext, lease, std::move(records));
 }
 
 void
@@ -255,7 +272,7 @@
     promoter.mHeldSince = aContext.mNow;
   }
   if (isNew && !isNext && !wasHeld) {
-    promoter.mHasReadCopies = false;
+    promoter.mHasReadRecords = false;
     RereadTable(aContext, Table::Fleet);
     SampleAllGroups(aContext);
   }
@@ -423,7 +440,10 @@
     NoteStoreTime(aContext, aEvent.mStoreTime);
     ApplyLeaseWrite(
       aContext, aEvent.mVersion, aEvent.mStoreTime, promoter.mCallSentAt);
-    ApplyRecordedCopies(aContext, promoter.mWrittenCopies);
+    ApplyWrittenRecords(aContext, promoter.mWrittenRecords);
+    // More may have to be recorded since the write was sent.
+    aContext.mState.mTimers.ArmSooner(
+      TimerKind::PromoterLease, 0, aContext.mNow);
     return true;
   }
   LogLeaseNotWritten(aContext, aEvent);
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -7,6 +7,7 @@
 #include "Gateway/Tuning.h"
 #include "Group/Fencing.h"
 #include "Group/Promoter.h"
+#include "Group/RetiredTerms.h"
 #include "Group/Sampling.h"
 #include "Group/TakeoverLog.h"
 #include "Group/TakeoverReason.h"
@@ -100,10 +101,23 @@
   SetPhase(aContext, aGroup, TakeoverPhase::Promoting);
 }
 
+/// Whether a server leads a term that is newer than the one that is replaced:
+/// an earlier promoter's order has taken effect.
+bool
+HasNewerPrimary(const Context& aContext, const Group& aGroup)
+{
+  const Backend* const primary =
+    Find(aContext.mState.mBackends, aGroup.mPrimary);
+  return primary != nullptr && HasRecentStatus(aContext, *primary) &&
+         primary->mStatus->mPrimary &&
+         primary->mStatus->mTerm > aGroup.mTakeover.mOldTerm &&
+         !IsTermRetired(aContext, aGroup);
+}
+
 /// Whether a primary that was silent has answered since the takeover started,
 /// possibly as a server with another name, and can go on: it has not stepped
-/// down, and neither this promoter nor an earlier one has requested a
-/// promotion.
+/// down, its term is not going to be retired, and neither this promoter nor an
+/// earlier one has requested a promotion.
 bool
 HasPrimaryReturned(const Context& aContext, const Group& aGroup)
 {
@@ -113,6 +127,7 @@
   const bool isUnfenced =
     aGroup.mUnfencedToken == aContext.mState.mPromoter.mFirstToken;
   return takeover.mReason == TakeoverReason::Silent && isUnfenced &&
+         takeover.mRetiredTerm == 0 && !IsTermRetired(aContext, aGroup) &&
          primary != nullptr && aGroup.mTerm == takeover.mOldTerm &&
          primary->mLastReceivedAt >= takeover.mStartedAt;
 }
@@ -129,7 +144,8 @@
 void
 AdvanceFencing(Context& aContext, Group& aGroup)
 {
-  if (HasPrimaryReturned(aContext, aGroup)) {
+  if (HasPrimaryReturned(aContext, aGroup) ||
+      HasNewerPrimary(aContext, aGroup)) {
     DropTakeover(aContext, aGroup);
     return;
   }
@@ -138,6 +154,7 @@
     return;
   }
   aGroup.mTakeover.mFencedAt = aContext.mNow;
+  RetireTerm(aContext, aGroup);
   SetPhase(aContext, aGroup, TakeoverPhase::AwaitingEvidenceExpiry);
 }
 
@@ -179,7 +196,11 @@
     return;
   }
   ContinueFencing(aContext, aGroup);
-  const Instant waitEnd = takeover.mFencedAt + kEvidenceTimeout;
+  if (!takeover.mRetiredAt) {
+    return;
+  }
+  const Instant waitEnd = std::max(takeover.mFencedAt + kEvidenceTimeout,
+                                   *takeover.mRetiredAt + kRetirementLead);
   if (aContext.mNow < waitEnd) {
     return;
   }
@@ -268,7 +289,7 @@
     }
     return;
   }
-  if (!aContext.mState.mPromoter.mHasReadCopies) {
+  if (!aContext.mState.mPromoter.mHasReadRecords) {
     return;
   }
   if (IsCandidateLeading(aGroup) &&
--- a/Source/Group/TakeoverReason.cpp
+++ b/Source/Group/TakeoverReason.cpp
@@ -6,6 +6,7 @@
 #include "Gateway/Tuning.h"
 #include "Group/Copies.h"
 #include "Group/Fencing.h"
+#include "Group/RetiredTerms.h"
 #include "Group/Sampling.h"
 
 namespace camphorstep::gateway {
@@ -75,8 +76,9 @@
   if (CountCopies(aGroup) < 2) {
     return std::nullopt;
   }
-  if (const Backend* const primary =
-        Find(aContext.mState.mBackends, aGroup.mPrimary)) {
+  const Backend* const primary =
+    Find(aContext.mState.mBackends, aGroup.mPrimary);
+  if (primary != nullptr && !IsTermRetired(aContext, aGroup)) {
     aGroup.mNoPrimarySince.reset();
     return ReasonWithPrimary(aContext, aGroup, *primary);
   }
--- a/Tests/Gateway/CopiesTest.cpp
+++ b/Tests/Gateway/CopiesTest.cpp
@@ -68,7 +68,7 @@
 void
 RetakeLease(GatewayDriver& aDriver, const std::vector<DataCopy>& aStored)
 {
-  aDriver.mStoredCopies = { { "group", aStored } };
+  aDriver.mStoredRecords = { { "group", aStored } };
   PromoterState& promoter = aDriver.mState.mPromoter;
   promoter.mHeldUntil = Instant{};
   promoter.mLease.mHolder = "";
@@ -76,7 +76,7 @@
   // The driver has dropped the call that was underway.
   aDriver.mState.mCatalogue.mTables.at(2).mCall = gateway::CallId{};
   aDriver.Run(1s);
-  REQUIRE(promoter.mHasReadCopies);
+  REQUIRE(promoter.mHasReadRecords);
 }
 
 }
@@ -85,14 +85,14 @@
 {
   // Guards against a count of copies that only one process knows.
   GatewayDriver driver;
-  REQUIRE(driver.mStoredCopies.size() == 1);
-  CHECK(driver.mStoredCopies[0].mGroup == "group");
-  CHECK(driver.mStoredCopies[0].mCopies ==
+  REQUIRE(driver.mStoredRecords.size() == 1);
+  CHECK(driver.mStoredRecords[0].mGroup == "group");
+  CHECK(driver.mStoredRecords[0].mCopies ==
         std::vector<DataCopy>{ CopyOn("s1", "10.0.1.1"),
                                CopyOn("s2", "10.0.1.2"),
                                CopyOn("s3", "10.0.1.3") });
   AddServer(driver, "s4");
-  CHECK(driver.mStoredCopies[0].mCopies.size() == 4);
+  CHECK(driver.mStoredRecords[0].mCopies.size() == 4);
 }
 
 TEST_CASE("A new promoter keeps writes that a former server acknowledged",
@@ -130,7 +130,7 @@
   RemoveServer(driver, "s4");
   driver.Run(kUntilRecorded);
   CHECK(CountCopies(GroupOf(driver)) == 3);
-  CHECK(driver.mStoredCopies[0].mCopies.size() == 3);
+  CHECK(driver.mStoredRecords[0].mCopies.size() == 3);
   driver.Server("s1").mDown = true;
   CHECK(RunUntilPromotion(driver, 4s));
 }
@@ -159,7 +159,7 @@
   RemoveServer(driver, "s4");
   driver.Run(kUntilRecorded);
   CHECK(CountCopies(GroupOf(driver)) == 4);
-  CHECK(driver.mStoredCopies[0].mCopies.size() == 4);
+  CHECK(driver.mStoredRecords[0].mCopies.size() == 4);
 }
 
 TEST_CASE("A server that answers without being listed counts", "[Copies]")
@@ -187,21 +187,21 @@
   AddServer(driver, "s4");
   RemoveServer(driver, "s4");
   std::optional<WriteLease> write;
-  for (int n = 0; n < 800 && (!write || write->mCopies.empty()); ++n) {
+  for (int n = 0; n < 800 && (!write || write->mRecords.empty()); ++n) {
     driver.OpenLinks();
     driver.AnswerControl();
     driver.AdvanceTime(10ms);
     if (auto next = driver.Take<WriteLease>()) {
       write = next;
-      if (write->mCopies.empty()) {
+      if (write->mRecords.empty()) {
         driver.Deliver(StoreWritten{
           write->mCall, CallOutcome::Ok, ++driver.mStoreVersion });
       }
     }
   }
   REQUIRE(write);
-  REQUIRE(write->mCopies.size() == 1);
-  CHECK(write->mCopies[0].mCopies.size() == 3);
+  REQUIRE(write->mRecords.size() == 1);
+  CHECK(write->mRecords[0].mCopies.size() == 3);
   CHECK(CountCopies(GroupOf(driver)) == 4);
   driver.Deliver(
     StoreWritten{ write->mCall, CallOutcome::Ok, ++driver.mStoreVersion });
@@ -213,7 +213,7 @@
 {
   // Guards against a takeover that counts the listed servers alone.
   GatewayDriver driver;
-  driver.mState.mPromoter.mHasReadCopies = false;
+  driver.mState.mPromoter.mHasReadRecords = false;
   driver.Server("s1").mDown = true;
   CHECK_FALSE(RunUntilPromotion(driver, 5s));
 }
--- a/Tests/Gateway/GatewayDriver.cpp
+++ b/Tests/Gateway/GatewayDriver.cpp
@@ -137,7 +137,7 @@
     answer.mStoreTime = mNow.time_since_epoch();
     if (aTable == Table::Fleet && aReadsAll) {
       answer.mIsSnapshot = true;
-      answer.mCopies = mStoredCopies;
+      answer.mRecords = mStoredRecords;
       for (const auto& [name, host] : mState.mCatalogue.mHosts) {
         answer.mHosts.push_back({ name, host });
       }
@@ -157,7 +157,7 @@
     answerWith(servers, Table::Servers, false);
   }
   while (const auto call = Take<WriteLease>()) {
-    StoreCopies(call->mCopies);
+    StoreRecords(call->mRecords);
     Deliver(StoreWritten{ call->mCall, CallOutcome::Ok, ++mStoreVersion });
   }
   while (const auto call = Take<WriteHostEntry>()) {
@@ -180,13 +180,13 @@
 }
 
 void
-GatewayDriver::StoreCopies(const std::vector<GroupCopies>& aCopies)
+GatewayDriver::StoreRecords(const std::vector<GroupRecord>& aRecords)
 {
-  for (const GroupCopies& written : aCopies) {
-    std::erase_if(mStoredCopies, [&](const GroupCopies& aStored) {
+  for (const GroupRecord& written : aRecords) {
+    std::erase_if(mStoredRecords, [&](const GroupRecord& aStored) {
       return aStored.mGroup == written.mGroup;
     });
-    mStoredCopies.push_back(written);
+    mStoredRecords.push_back(written);
   }
 }
 
--- a/Tests/Gateway/GatewayDriver.h
+++ b/Tests/Gateway/GatewayDriver.h
@@ -131,8 +131,8 @@
   std::vector<RowChange<ServerEntry>> mServerChanges;
   /// Whether the store answers reads of the servers' changes.
   bool mReadsServers = false;
-  /// The lists of copies in the store.
-  std::vector<GroupCopies> mStoredCopies;
+  /// The records of the groups in the store.
+  std::vector<GroupRecord> mStoredRecords;
   /// The client accounts that are published, if there are any.
   std::optional<AccountRules> mAccountRules;
   /// The accounts in whose names connections were opened.
@@ -140,7 +140,7 @@
 
 private:
   std::optional<WatchTable> TakeWatch(Table aTable);
-  void StoreCopies(const std::vector<GroupCopies>& aCopies);
+  void StoreRecords(const std::vector<GroupRecord>& aRecords);
   BackendReply StatusReply(FakeServer& aServer, const BackendRequest& aRequest);
 };
 
--- a/Tests/Gateway/TakeoverTest.cpp
+++ b/Tests/Gateway/TakeoverTest.cpp
@@ -229,8 +229,12 @@
   // holder.
   GatewayDriver driver;
   driver.Server("s1").mDown = true;
-  // The last renewal before the order is answered late.
-  driver.mState.mPromoter.mHeldUntil = driver.mNow + 2'500ms;
+  for (int n = 0; n < 200 && driver.mStoredRecords[0].mRetiredTerm == 0; ++n) {
+    driver.Run(10ms);
+  }
+  // No renewal succeeds between the record of the term, which is written with
+  // the lease, and the order.
+  driver.mState.mPromoter.mHeldUntil = driver.mNow + 2'000ms;
   driver.mState.mTimers.Cancel(TimerKind::PromoterLease, 0);
   const auto promotion = RunUntilPromotion(driver, 4s);
   REQUIRE(promotion);
--- a/Tests/Platform/RowsTest.cpp
+++ b/Tests/Platform/RowsTest.cpp
@@ -199,6 +199,26 @@
   CHECK(seen.mLease->mRowVersion == 7);
 }
 
+TEST_CASE("The record of a group has its copies and its retired term", "[Rows]")
+{
+  const std::string copies =
+    R"("copies":[{"server":"i-1","address":"10.0.0.9:8080","started_at":5}])";
+  TableAnswer answer;
+  answer.mTable = Table::Fleet;
+  ReadRows(Body(Row("copies/g", "{" + copies + R"(,"retired_term":3})") + "," +
+                Row("copies/h", "{" + copies + "}")),
+           answer);
+  REQUIRE(answer.mRecords.size() == 2);
+  const std::vector<DataCopy> expected{ { "i-1", { "10.0.0.9", 8080 }, 5 } };
+  CHECK(answer.mRecords[0] == GroupRecord{ "g", expected, 3 });
+  // A program that knows no retired terms has written this one.
+  CHECK(answer.mRecords[1] == GroupRecord{ "h", expected, 0 });
+  const std::string written =
+    WriteLeaseTransaction(PromoterLease{}, { answer.mRecords[0] });
+  const std::string value = WriteBase64("{" + copies + R"(,"retired_term":3})");
+  CHECK(written.find(value) != std::string::npos);
+}
+
 TEST_CASE("Malformed answers of the store are refused as a whole", "[Rows]")
 {
   for (const char* const body : { "", "x", "{}", R"({"rows":[]})" }) {
--- a/Tests/Promotions/Store.cpp
+++ b/Tests/Promotions/Store.cpp
@@ -64,9 +64,9 @@
         aAnswer.mLease->mRowVersion =
           MakeStoreVersion(aStore.mEra, rows.mLease.mNumber);
       }
-      for (const auto& [group, row] : rows.mCopies) {
+      for (const auto& [group, row] : rows.mRecords) {
         if (row.mNumber > aAfter) {
-          aAnswer.mCopies.push_back(*row.mValue);
+          aAnswer.mRecords.push_back(*row.mValue);
         }
       }
       break;
@@ -136,7 +136,7 @@
   const TableAnswer answer = ReadChanges(aStore, aCall, Instant{});
   return EraOf(aCall.mAfter) != aStore.mEra || answer.mRouting ||
          answer.mLease || !answer.mServers.empty() || !answer.mHosts.empty() ||
-         !answer.mCopies.empty();
+         !answer.mRecords.empty();
 }
 
 StoreWritten
@@ -153,8 +153,8 @@
   }
   const std::uint64_t number = ++rows.mNumber;
   rows.mLease = { number, aCall.mLease };
-  for (const GroupCopies& copies : aCall.mCopies) {
-    rows.mCopies[copies.mGroup] = { number, copies };
+  for (const GroupRecord& record : aCall.mRecords) {
+    rows.mRecords[record.mGroup] = { number, record };
   }
   if (era > 0) {
     rows.mLeaseEras[era] = { number, true };
--- a/Tests/Promotions/Store.h
+++ b/Tests/Promotions/Store.h
@@ -28,7 +28,7 @@
   std::map<std::string, Row<gateway::ServerEntry>> mServers;
   std::map<std::string, Row<gateway::HostEntry>> mHosts;
   Row<gateway::PromoterLease> mLease;
-  std::map<std::string, Row<gateway::GroupCopies>> mCopies;
+  std::map<std::string, Row<gateway::GroupRecord>> mRecords;
   /// The eras in which the lease was written.
   std::map<std::uint64_t, Row<bool>> mLeaseEras;
   Row<gateway::RoutingVersion> mRouting;
