Group: Begin evidence only where orders to promote are known (LOST, ONE)

Cause: a replica was passed over as evidence only by a host that had seen its pause. A host that had just started, was suspended or cut off had seen none.

Change: evidence that begins, or begins again after a gap, needs a term that is not retired and a confirmation of the retired terms from the last 0.9 s before the replica's status. Reports carry them around changes of primary; otherwise the store is called. Evidence without a gap goes on as before, also while the store is away. Client accounts at the end of a report have the same bytes.

Why it works: all replicas are paused for 1 s before an order, so every host's evidence has a gap there, and the record of the retired term is older than any status of a replica that loses its pause after the promoter's last look.

In Tests/Gateway/Follower.h the call that the driver drops is ended now, as calls end, since the host may need the store.

--- a/Source/Catalogue/CatalogueState.h
+++ b/Source/Catalogue/CatalogueState.h
@@ -33,6 +33,23 @@
   Instant mFailedCallAt;
   /// Whether the next call reads all rows.
   bool mReread = false;
+  /// Whether the store is to be called at once, although another host reports
+  /// this table.
+  bool mIsConfirmationNeeded = false;
+};
+
+/// The retired terms of all groups, as far as this host knows them; see
+/// Group/RetiredTerms.h.
+struct RetiredTerms
+{
+  /// The newest retired term of each group that has one, by the group's name.
+  std::map<std::string, Term> mTerms;
+  /// The version of the fleet table up to which they are complete.
+  StoreVersion mVersion = 0;
+  /// A time at which the store had no record of another one.
+  Instant mConfirmedAt;
+  /// Until when reports to other hosts name them.
+  Instant mReportedUntil;
 };
 
 /// What the store says.
@@ -53,9 +70,7 @@
   bool mRegistered = false;
   /// The store's version that it got.
   StoreVersion mRegisteredVersion = 0;
-  /// The newest retired term of each group that has one; see
-  /// Group/RetiredTerms.h.
-  std::map<GroupId, Term> mRetiredTerms;
+  RetiredTerms mRetiredTerms;
 };
 
 /// The lease on promotions, as this host knows it.
--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -14,6 +14,7 @@
 #include "Gateway/Tuning.h"
 #include "Group/Copies.h"
 #include "Group/Promoter.h"
+#include "Group/RetiredTerms.h"
 #include "RateLimits/RateLimits.h"
 
 namespace camphorstep::gateway {
@@ -88,7 +89,7 @@
 Instant
 NextPoll(const Context& aContext, Table aTable, const TableProgress& aProgress)
 {
-  if (aProgress.mReread) {
+  if (aProgress.mReread || aProgress.mIsConfirmationNeeded) {
     return aContext.mNow;
   }
   if (HoldsPromoterLease(aContext) || !HasResponsiveSource(aContext)) {
@@ -145,6 +146,19 @@
                   kMaxStoreRetryDelay);
 }
 
+/// The version up to which all rows of a table are known. Reports of other
+/// hosts have the hosts' entries, but not always the groups' records.
+StoreVersion
+CompleteVersion(const Context& aContext,
+                Table aTable,
+                const TableProgress& aProgress)
+{
+  return aTable == Table::Fleet
+           ? std::min(aProgress.mVersion,
+                      aContext.mState.mCatalogue.mRetiredTerms.mVersion)
+           : aProgress.mVersion;
+}
+
 /// Whether the store has returned from an older copy since the rows that this
 /// host has.
 bool
@@ -261,8 +275,11 @@
   }
   progress.mCall = NewId<CallId>(aContext);
   progress.mCalledAt = aContext.mNow;
+  progress.mIsConfirmationNeeded = false;
   ++aContext.mState.mCounters.mStoreCalls;
-  if (!progress.mKnown || progress.mReread) {
+  const StoreVersion version = CompleteVersion(aContext, aTable, progress);
+  if (!progress.mKnown || progress.mReread ||
+      EraOf(version) != EraOf(progress.mVersion)) {
     progress.mReread = false;
     Emit(aContext, ReadTable{ progress.mCall, aTable, "" });
     return;
@@ -275,7 +292,7 @@
   Emit(aContext,
        WatchTable{ progress.mCall,
                    aTable,
-                   progress.mVersion,
+                   version,
                    isLongPoll ? WatchTimeout(aContext) : Duration{ 0 } });
 }
 
@@ -285,6 +302,17 @@
   ArmPoll(aContext, aTable, aContext.mNow);
 }
 
+void
+ConfirmTableSoon(Context& aContext, Table aTable)
+{
+  TableProgress& progress = ProgressOf(aContext, aTable);
+  // After a failure the table has its own time of the next call.
+  if (progress.mKnown && !progress.mCall && progress.mFailures == 0) {
+    progress.mIsConfirmationNeeded = true;
+    PollTableSoon(aContext, aTable);
+  }
+}
+
 void
 RereadTable(Context& aContext, Table aTable)
 {
@@ -319,6 +347,7 @@
   if (answer->mTable == Table::Fleet) {
     ApplyStoredLease(aContext, *answer);
     ApplyStoredRecords(aContext, *answer, progress.mCalledAt);
+    ConfirmRetiredTerms(aContext, progress.mCalledAt, answer->mVersion);
   }
   // Another host may have told of a later version meanwhile.
   if (progress.mKnown && answer->mVersion < progress.mVersion) {
--- a/Source/Catalogue/Tables.h
+++ b/Source/Catalogue/Tables.h
@@ -28,6 +28,9 @@
 /// Has a table's changes asked for now.
 void PollTableSoon(Context& aContext, Table aTable);
 
+/// Has the store called for a table at once, even if another host reports it.
+void ConfirmTableSoon(Context& aContext, Table aTable);
+
 /// Has a table read as a whole.
 void RereadTable(Context& aContext, Table aTable);
 
--- a/Source/Fleet/Reports.cpp
+++ b/Source/Fleet/Reports.cpp
@@ -8,6 +8,7 @@
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
 #include "Group/Promoter.h"
+#include "Group/RetiredTerms.h"
 
 namespace camphorstep::gateway {
 
@@ -42,6 +43,7 @@
   report.mServers = ReportServers(aContext);
   report.mTables = MakeTableReports(aContext, aPending.mQuery);
   report.mLease = MakeLeaseReport(aContext);
+  report.mRetiredTerms = MakeRetiredTermsReport(aContext);
   return report;
 }
 
@@ -106,6 +108,7 @@
   // Servers first have to be known.
   ApplyTableReports(aContext, aReport, aSentAt);
   ApplyLeaseReport(aContext, aReport);
+  ApplyRetiredTermsReport(aContext, aReport, aSentAt);
   for (const ServerReport& report : aReport.mServers) {
     Backend* const backend = Find(aContext.mState.mBackends, report.mServer);
     const Instant askedAt = aSentAt - std::max(report.mAge, Duration{ 0 });
--- a/Source/Gateway/PeerMessage.h
+++ b/Source/Gateway/PeerMessage.h
@@ -106,6 +106,39 @@
   }
 };
 
+/// The newest retired term of a group.
+struct RetiredTerm
+{
+  std::string mGroup;
+  Term mTerm = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mGroup);
+    ArchivePacked(aArchive, mTerm);
+  }
+};
+
+/// The retired terms of all groups that the sender of a report knows.
+struct RetiredTermsReport
+{
+  /// The version of the fleet table up to which they are complete.
+  StoreVersion mVersion = 0;
+  /// Age, when the report was sent, of the last confirmation that the store
+  /// had no record of another one.
+  Duration mAge{ 0 };
+  std::vector<RetiredTerm> mTerms;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    ArchivePacked(aArchive, mVersion);
+    ArchivePacked(aArchive, mAge);
+    aArchive(mTerms);
+  }
+};
+
 /// Queries another host for statuses, tables and the promoter's lease.
 struct PeerQuery
 {
@@ -152,24 +185,54 @@
   return nullptr;
 }
 
-/// Archives the client accounts at the end of a report. Nothing is written for
-/// a deployment that has none, so that its hosts exchange the same bytes as
-/// those that know no accounts.
+/// The parts that a report may end with. Each begins with its number. Nothing
+/// is written for one that is not needed, so that hosts without it exchange the
+/// same bytes as those that do not know it.
+enum class ReportPart : std::uint8_t
+{
+  /// The client accounts of the configuration.
+  Accounts,
+  RetiredTerms,
+};
+
 template<typename Archive>
 void
-ArchiveAccountRules(Archive& aArchive, std::vector<TableReport>& aTables)
+SaveReportParts(Archive& aArchive,
+                std::vector<TableReport>& aTables,
+                const std::optional<RetiredTermsReport>& aRetiredTerms)
 {
+  const RoutingVersion* const routing = FindRouting(aTables);
+  if (routing != nullptr && routing->mAccountRules) {
+    aArchive(static_cast<std::uint8_t>(ReportPart::Accounts),
+             *routing->mAccountRules);
+  }
+  if (aRetiredTerms) {
+    aArchive(static_cast<std::uint8_t>(ReportPart::RetiredTerms),
+             *aRetiredTerms);
+  }
+}
+
+template<typename Archive>
+void
+LoadReportPart(Archive& aArchive,
+               std::vector<TableReport>& aTables,
+               std::optional<RetiredTermsReport>& aRetiredTerms)
+{
+  std::uint8_t part = 0;
+  aArchive(part);
   RoutingVersion* const routing = FindRouting(aTables);
-  if constexpr (Archive::is_saving::value) {
-    if (routing != nullptr && routing->mAccountRules) {
-      aArchive(routing->mAccountRules);
-    }
-  } else if (aArchive.Left() != 0) {
-    if (routing == nullptr) {
-      throw cereal::Exception("accounts without a configuration");
-    }
-    aArchive(routing->mAccountRules);
+  switch (static_cast<ReportPart>(part)) {
+    case ReportPart::Accounts:
+      if (routing == nullptr) {
+        throw cereal::Exception("accounts without a configuration");
+      }
+      aArchive(routing->mAccountRules.emplace());
+      return;
+    case ReportPart::RetiredTerms:
+      aArchive(aRetiredTerms.emplace());
+      return;
   }
+  throw cereal::Exception("a part of a report is not known");
 }
 
 }
@@ -188,6 +251,8 @@
   std::vector<ServerReport> mServers;
   std::vector<TableReport> mTables;
   std::optional<LeaseReport> mLease;
+  /// Reported around changes of primary only.
+  std::optional<RetiredTermsReport> mRetiredTerms;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -196,7 +261,13 @@
     ArchivePacked(aArchive, mHeld);
     ArchivePacked(aArchive, mSequence);
     aArchive(mIsPromoter, mServers, mTables, mLease);
-    detail::ArchiveAccountRules(aArchive, mTables);
+    if constexpr (Archive::is_saving::value) {
+      detail::SaveReportParts(aArchive, mTables, mRetiredTerms);
+    } else {
+      while (aArchive.Left() != 0) {
+        detail::LoadReportPart(aArchive, mTables, mRetiredTerms);
+      }
+    }
   }
 };
 
--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -1,8 +1,10 @@
 #include "Group/Evidence.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
+#include "Catalogue/Tables.h"
 #include "Gateway/Tuning.h"
 #include "Group/Copies.h"
 #include "Group/RetiredTerms.h"
@@ -66,6 +68,84 @@
         { "received", Describe(status.mReceived) } });
 }
 
+/// When the statuses that prove a primary were requested. In a group of one
+/// server both times are the primary's.
+struct ProofTimes
+{
+  Instant mPrimary;
+  Instant mReplica;
+};
+
+/// Finds the newest statuses that prove the group's primary.
+std::optional<ProofTimes>
+FindProof(const Context& aContext, const Group& aGroup)
+{
+  const Backend* const primary =
+    Find(aContext.mState.mBackends, aGroup.mPrimary);
+  if (primary == nullptr || !primary->mStatus || !primary->mStatus->mPrimary ||
+      primary->mStatus->mTerm != aGroup.mTerm) {
+    return std::nullopt;
+  }
+  if (CountCopies(aGroup) <= 1) {
+    return ProofTimes{ primary->mStatusAskedAt, primary->mStatusAskedAt };
+  }
+  Instant asked = Instant::min();
+  for (const ServerId id : aGroup.mServers) {
+    const Backend* const backend = Find(aContext.mState.mBackends, id);
+    if (backend != nullptr && IsFollowingPrimary(*backend, aGroup)) {
+      asked = std::max(asked, backend->mStatusAskedAt);
+    }
+  }
+  if (asked == Instant::min()) {
+    return std::nullopt;
+  }
+  return ProofTimes{ primary->mStatusAskedAt, asked };
+}
+
+/// Whether the evidence for the primary has had no gap until these statuses.
+bool
+ContinuesEvidence(const Group& aGroup, const ProofTimes& aTimes)
+{
+  return aGroup.mProvedTerm == aGroup.mTerm &&
+         aTimes.mReplica <= aGroup.mProvedUntil;
+}
+
+/// Whether evidence for the primary may begin with these statuses. Nobody is
+/// promoted in a group of one server.
+bool
+MayBeginEvidence(const Context& aContext,
+                 const Group& aGroup,
+                 const ProofTimes& aTimes)
+{
+  return CountCopies(aGroup) <= 1 ||
+         (!IsTermRetired(aContext, aGroup) &&
+          AreOrdersKnown(aContext, aTimes.mReplica));
+}
+
+/// Notes until when there is evidence for the primary. Has the store confirm
+/// the retired terms if evidence could begin with that.
+void
+NoteEvidence(Context& aContext, Group& aGroup)
+{
+  const std::optional<ProofTimes> times = FindProof(aContext, aGroup);
+  if (!times) {
+    return;
+  }
+  const Instant end = EvidenceEnd(aContext, aGroup);
+  if (end == Instant::min()) {
+    const Instant proofEnd =
+      std::min(times->mReplica, times->mPrimary) + kEvidenceTimeout;
+    if (aContext.mNow < proofEnd && !IsTermRetired(aContext, aGroup)) {
+      ConfirmTableSoon(aContext, Table::Fleet);
+    }
+    return;
+  }
+  aGroup.mProvedUntil = aGroup.mProvedTerm == aGroup.mTerm
+                          ? std::max(aGroup.mProvedUntil, end)
+                          : end;
+  aGroup.mProvedTerm = aGroup.mTerm;
+}
+
 void
 SetPrimary(Context& aContext, Group& aGroup, ServerId aServer)
 {
@@ -176,33 +256,18 @@
 Instant
 EvidenceEnd(const Context& aContext, const Group& aGroup)
 {
-  const Backend* const primary =
-    Find(aContext.mState.mBackends, aGroup.mPrimary);
-  if (primary == nullptr || !primary->mStatus || !primary->mStatus->mPrimary ||
-      primary->mStatus->mTerm != aGroup.mTerm) {
+  const std::optional<ProofTimes> times = FindProof(aContext, aGroup);
+  if (!times || (!ContinuesEvidence(aGroup, *times) &&
+                 !MayBeginEvidence(aContext, aGroup, *times))) {
     return Instant::min();
   }
-  if (CountCopies(aGroup) <= 1) {
-    return primary->mStatusAskedAt + kEvidenceTimeout;
-  }
-  Instant asked = Instant::min();
-  for (const ServerId id : aGroup.mServers) {
-    const Backend* const backend = Find(aContext.mState.mBackends, id);
-    if (backend != nullptr && IsFollowingPrimary(*backend, aGroup)) {
-      asked = std::max(asked, backend->mStatusAskedAt);
-    }
-  }
-  if (asked == Instant::min()) {
-    return asked;
-  }
-  return std::min(asked, primary->mStatusAskedAt) + kEvidenceTimeout;
+  return std::min(times->mReplica, times->mPrimary) + kEvidenceTimeout;
 }
 
 Backend*
 ConfirmedPrimary(Context& aContext, const Group& aGroup)
 {
-  if (IsTermRetired(aContext, aGroup) ||
-      aContext.mNow + kEvidenceMargin >= EvidenceEnd(aContext, aGroup)) {
+  if (aContext.mNow + kEvidenceMargin >= EvidenceEnd(aContext, aGroup)) {
     return nullptr;
   }
   return Find(aContext.mState.mBackends, aGroup.mPrimary);
@@ -214,6 +279,11 @@
             const BackendStatus& aStatus,
             Instant aAskedAt)
 {
+  Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
+  if (group != nullptr) {
+    // The retired terms may have been confirmed since the former status.
+    NoteEvidence(aContext, *group);
+  }
   aBackend.mStatus = aStatus;
   aBackend.mStatusAskedAt = aAskedAt;
   if (aStatus.mPauseTerm != 0) {
@@ -222,11 +292,11 @@
     aBackend.mIsProbationLogged = false;
   }
   ++aContext.mState.mFleet.mSequence;
-  Group* const group = Find(aContext.mState.mGroups, aBackend.mGroup);
   if (group == nullptr) {
     return;
   }
   UpdatePrimary(aContext, *group, aBackend);
+  NoteEvidence(aContext, *group);
   LogProbation(aContext, *group, aBackend);
   if (group->mPrimary == aBackend.mId) {
     RecordPositionSample(aContext, *group, aBackend);
@@ -240,6 +310,15 @@
   AdvanceTakeover(aContext, *group);
 }
 
+void
+RefreshEvidence(Context& aContext)
+{
+  for (auto& [id, group] : aContext.mState.mGroups) {
+    NoteEvidence(aContext, group);
+    RerouteWaitingStatements(aContext, group);
+  }
+}
+
 void
 NoteLostLeadership(Context& aContext, Backend& aBackend)
 {
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -105,6 +105,10 @@
   ServerId mPrimary;
   Term mTerm = 0;
   std::deque<PositionSample> mSamples;
+  /// Until when there has been evidence for the primary of a term without a
+  /// gap, and that term; see Group/Evidence.h.
+  Term mProvedTerm = 0;
+  Instant mProvedUntil;
   /// Since when the primary is ahead of all replicas and no replica has
   /// received more.
   std::optional<Instant> mReplicationStalledSince;
--- a/Source/Group/RetiredTerms.h
+++ b/Source/Group/RetiredTerms.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "Gateway/Context.h"
@@ -25,6 +26,27 @@
 /// Whether the term of the group's known primary is retired.
 bool IsTermRetired(const Context& aContext, const Group& aGroup);
 
+/// Whether a promotion that replaces the group's known term, and had been
+/// ordered before aTime, would be known here: the retired terms have been
+/// confirmed late enough. On the promoter they always are.
+bool AreOrdersKnown(const Context& aContext, Instant aTime);
+
+/// Notes that this host knows all terms that were retired at a time, and that
+/// are recorded up to a version of the fleet table.
+void ConfirmRetiredTerms(Context& aContext,
+                         Instant aTime,
+                         StoreVersion aVersion);
+
+/// What a report tells of the retired terms: nothing, unless a primary is being
+/// replaced or was a short time ago.
+std::optional<RetiredTermsReport> MakeRetiredTermsReport(
+  const Context& aContext);
+
+/// Applies what a report tells that was sent at aSentAt.
+void ApplyRetiredTermsReport(Context& aContext,
+                             const PeerReport& aReport,
+                             Instant aSentAt);
+
 /// Notes that the store has a term of a group as retired.
 void NoteRetiredTerm(Context& aContext, const std::string& aGroup, Term aTerm);
 
--- a/Tests/Gateway/EvidenceTest.cpp
+++ b/Tests/Gateway/EvidenceTest.cpp
@@ -39,6 +39,57 @@
   aDriver.Server("s3").mPauseTerm = aPauseTerm;
 }
 
+/// Has the process forget all evidence and what it knew of retired terms, and
+/// the store answer nothing more of them.
+void
+ForgetEvidence(Follower& aDriver)
+{
+  aDriver.mState.mGroups.begin()->second.mProvedTerm = 0;
+  aDriver.mState.mCatalogue.mRetiredTerms.mConfirmedAt = Instant{};
+  aDriver.mState.mCatalogue.mTables.at(2).mCall = gateway::CallId{ 1 };
+}
+
+}
+
+TEST_CASE("Evidence begins only when the orders to promote are known",
+          "[Evidence]")
+{
+  // Guards against writes through a replica whose pause a restart has ended, on
+  // a host that has just started while the platform carries out a promotion
+  // (LOST).
+  Follower driver;
+  driver.Follow(1s);
+  ForgetEvidence(driver);
+  driver.Follow(2 * kEvidenceProbation);
+  CHECK_FALSE(IsPrimaryUsed(driver, 1));
+  driver.mRetiredTerms = RetiredTermsReport{ 1, 0s, {} };
+  SECTION("and none has been given")
+  {
+    driver.Follow(500ms);
+    CHECK(IsPrimaryUsed(driver, 2));
+  }
+  SECTION("not while they were confirmed before the statuses were requested")
+  {
+    driver.mRetiredTerms->mAge = kEvidenceTimeout;
+    driver.Follow(2 * kEvidenceProbation);
+    CHECK_FALSE(IsPrimaryUsed(driver, 2));
+  }
+  SECTION("not in a term that is retired")
+  {
+    driver.mRetiredTerms->mTerms = { { "group", 1 } };
+    driver.Follow(2 * kEvidenceProbation);
+    CHECK_FALSE(IsPrimaryUsed(driver, 2));
+  }
+}
+
+TEST_CASE("Evidence without a gap goes on while the store is away",
+          "[Evidence]")
+{
+  Follower driver;
+  driver.Follow(1s);
+  driver.mState.mCatalogue.mTables.at(2).mCall = gateway::CallId{ 1 };
+  driver.Follow(10s);
+  CHECK(IsPrimaryUsed(driver, 1));
 }
 
 TEST_CASE("A replica that was paused is no evidence until it has a new term",
--- a/Tests/Gateway/Follower.h
+++ b/Tests/Gateway/Follower.h
@@ -17,6 +17,8 @@
     AddHost("h1", "a", 250);
     AddHost("h2", "a", 500);
     mState.mSelf.mEntry = mState.mCatalogue.mHosts["h1"];
+    // The driver has dropped the call that was underway.
+    mState.mCatalogue.mTables.at(2).mCall = CallId{};
   }
 
   void AddHost(const std::string& aName,
@@ -52,6 +54,7 @@
       news.mAge = mConfirmationAge;
       report.mTables.push_back(news);
     }
+    report.mRetiredTerms = mRetiredTerms;
     return report;
   }
 
@@ -77,6 +80,8 @@
 
   /// How long ago the store confirmed the tables of the source.
   Duration mConfirmationAge{ 0 };
+  /// What the source reports of retired terms.
+  std::optional<RetiredTermsReport> mRetiredTerms;
   std::optional<PeerQuery> mQuery;
   Instant mAskedAt;
 };
--- a/Tests/Gateway/PeerMessageTest.cpp
+++ b/Tests/Gateway/PeerMessageTest.cpp
@@ -110,6 +110,27 @@
   }
 }
 
+TEST_CASE("Retired terms travel at the end of a report", "[PeerMessage]")
+{
+  PeerReport report = MakeReport();
+  const std::string without = Encode(PeerMessage(report));
+  report.mRetiredTerms = RetiredTermsReport{ 130, 20ms, { { "group", 4 } } };
+  const std::string with = Encode(PeerMessage(report));
+  CHECK(with.starts_with(without));
+  const auto message = Decode<PeerMessage>(with);
+  const auto& got = std::get<PeerReport>(message);
+  REQUIRE(got.mRetiredTerms);
+  CHECK(got.mRetiredTerms->mVersion == 130);
+  CHECK(got.mRetiredTerms->mAge == 20ms);
+  REQUIRE(got.mRetiredTerms->mTerms.size() == 1);
+  CHECK(got.mRetiredTerms->mTerms[0].mGroup == "group");
+  CHECK(got.mRetiredTerms->mTerms[0].mTerm == 4);
+  for (std::size_t n = without.size() + 1; n < with.size(); ++n) {
+    CHECK_THROWS_AS(Decode<PeerMessage>(with.substr(0, n)), DecodeError);
+  }
+  CHECK_THROWS_AS(Decode<PeerMessage>(without + '\x07'), DecodeError);
+}
+
 TEST_CASE("Client accounts without a configuration are rejected",
           "[PeerMessage]")
 {
--- a/Tests/Gateway/RetiredTermsTest.cpp
+++ b/Tests/Gateway/RetiredTermsTest.cpp
@@ -33,6 +33,8 @@
   promoter.mLease.mToken += 5;
   // The driver has dropped the call that was underway.
   aDriver.mState.mCatalogue.mTables.at(2).mCall = gateway::CallId{};
+  // The process has just started: it has had no evidence.
+  aDriver.mState.mGroups.begin()->second.mProvedTerm = 0;
   aDriver.Run(300ms);
 }
 
