--- a/Source/Group/Fencing.cpp
+++ b/Source/Group/Fencing.cpp
@@ -52,6 +52,17 @@
          aBackend.mStatus->mPauseTerm == aGroup.mTakeover.mFenceTerm;
 }
 
+/// The number of servers whose pause by the takeover was seen at or after a
+/// time.
+std::size_t
+CountPausedSince(const Context& aContext, const Group& aGroup, Instant aSince)
+{
+  return CountServers(aContext, aGroup, [&](const Backend& aBackend) {
+    return IsPausedByTakeover(aContext, aGroup, aBackend) &&
+           aBackend.mStatusAskedAt >= aSince;
+  });
+}
+
 /// Whether the first paused server is the better candidate: the one that has
 /// received more, then one that is not leaving, then the lower id, so that all
 /// promoters choose alike.
@@ -168,14 +179,16 @@
   });
 }
 
+bool
+AreAllPaused(const Context& aContext, const Group& aGroup, Instant aSince)
+{
+  return CountPausedSince(aContext, aGroup, aSince) == CountCopies(aGroup);
+}
+
 bool
 IsFenced(const Context& aContext, const Group& aGroup, Instant aSince)
 {
-  const std::size_t pausedCount =
-    CountServers(aContext, aGroup, [&](const Backend& aBackend) {
-      return IsPausedByTakeover(aContext, aGroup, aBackend) &&
-             aBackend.mStatusAskedAt >= aSince;
-    });
+  const std::size_t pausedCount = CountPausedSince(aContext, aGroup, aSince);
   const std::size_t reachable =
     CountServers(aContext, aGroup, [&](const Backend& aBackend) {
       return aContext.mNow - aBackend.mLastReceivedAt < kReachableTimeout;
--- a/Source/Group/Fencing.h
+++ b/Source/Group/Fencing.h
@@ -4,6 +4,10 @@
 
 namespace camphorstep::gateway {
 
+/// Whether all copies, the old primary's included, were paused by the takeover
+/// at or after aSince. Then no server leads, and no term is unseen.
+bool AreAllPaused(const Context& aContext, const Group& aGroup, Instant aSince);
+
 /// Whether a server's status was requested at most kMaxFenceStatusAge ago.
 bool HasRecentStatus(const Context& aContext, const Backend& aBackend);
 
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -63,6 +63,9 @@
   /// when the store is known to have it so. Zero until the fence is complete.
   Term mRetiredTerm = 0;
   std::optional<Instant> mRetiredAt;
+  /// The newest term that an earlier order of unknown outcome may have begun;
+  /// zero if there was none.
+  Term mUnseenTerm = 0;
   ServerId mCandidate;
   CallId mCall;
   /// When the newest order to promote was given, and its id.
--- a/Source/Group/RetiredTerms.cpp
+++ b/Source/Group/RetiredTerms.cpp
@@ -4,6 +4,7 @@
 
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
+#include "Group/Fencing.h"
 #include "Group/Promoter.h"
 
 namespace camphorstep::gateway {
@@ -139,12 +140,21 @@
     TimerKind::SendPeerReports, 0, aContext.mNow);
 }
 
+Term
+TermToRetire(const Context& aContext, const Group& aGroup, Instant aSince)
+{
+  const Takeover& takeover = aGroup.mTakeover;
+  const Term known = std::max(aGroup.mTerm, takeover.mOldTerm);
+  return AreAllPaused(aContext, aGroup, aSince)
+           ? known
+           : std::max(known, takeover.mUnseenTerm);
+}
+
 void
-RetireTerm(Context& aContext, Group& aGroup)
+RetireTerm(Context& aContext, Group& aGroup, Term aTerm)
 {
   Takeover& takeover = aGroup.mTakeover;
-  takeover.mRetiredTerm =
-    std::max({ takeover.mRetiredTerm, takeover.mOldTerm, aGroup.mTerm });
+  takeover.mRetiredTerm = std::max(takeover.mRetiredTerm, aTerm);
   takeover.mRetiredAt.reset();
   NoteRetirement(aContext, aGroup);
   MaintainPromoterLease(aContext);
--- a/Source/Group/RetiredTerms.h
+++ b/Source/Group/RetiredTerms.h
@@ -50,9 +50,14 @@
 /// Notes that the store has a term of a group as retired.
 void NoteRetiredTerm(Context& aContext, const std::string& aGroup, Term aTerm);
 
-/// Notes which term of a group is to be retired before the promotion that its
-/// takeover is going to order, and has it recorded with the lease at once.
-void RetireTerm(Context& aContext, Group& aGroup);
+/// The term that has to be retired before a group's takeover orders a
+/// promotion: the newest known one, or the newest that may exist, unless the
+/// takeover has seen at or after aSince that nobody leads it.
+Term TermToRetire(const Context& aContext, const Group& aGroup, Instant aSince);
+
+/// Notes that a group's takeover needs a term retired, and has it recorded with
+/// the lease at once.
+void RetireTerm(Context& aContext, Group& aGroup, Term aTerm);
 
 /// Notes since when the store's record of a group has the term that its
 /// takeover retires; to be called when the known record has changed.
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -60,6 +60,9 @@
   takeover.mFenceTerm = aGroup.mTerm + token;
   takeover.mOldTerm = aGroup.mTerm;
   takeover.mOldPrimary = aGroup.mPrimary;
+  // Whoever has retired the term may have ordered a promotion.
+  takeover.mUnseenTerm =
+    IsTermRetired(aContext, aGroup) ? RetiredTermOf(aContext, aGroup) + 1 : 0;
   takeover.mStartedAt = aContext.mNow;
   aGroup.mNoPrimarySince.reset();
   aGroup.mReplicationStalledSince.reset();
@@ -154,7 +157,9 @@
     return;
   }
   aGroup.mTakeover.mFencedAt = aContext.mNow;
-  RetireTerm(aContext, aGroup);
+  RetireTerm(aContext,
+             aGroup,
+             TermToRetire(aContext, aGroup, aGroup.mTakeover.mStartedAt));
   SetPhase(aContext, aGroup, TakeoverPhase::AwaitingEvidenceExpiry);
 }
 
@@ -224,6 +229,11 @@
     }
     return;
   }
+  const Term term = TermToRetire(aContext, aGroup, waitEnd);
+  if (term > takeover.mRetiredTerm) {
+    RetireTerm(aContext, aGroup, term);
+    return;
+  }
   if (const Backend* const candidate = BestCandidate(aContext, aGroup)) {
     RequestPromotion(aContext, aGroup, *candidate);
   }
@@ -340,6 +350,11 @@
     LogOrderAnswer(aContext, group, aEvent.mOutcome);
     takeover.mCall = CallId{};
     takeover.mCallAfter = aContext.mNow + kPromoteRetryDelay;
+    if (aEvent.mOutcome == CallOutcome::Ok ||
+        aEvent.mOutcome == CallOutcome::Unknown) {
+      takeover.mUnseenTerm =
+        std::max(takeover.mUnseenTerm, takeover.mRetiredTerm) + 1;
+    }
     if (aEvent.mOutcome == CallOutcome::Unknown) {
       // The order may still take effect, which takes less than this wait.
       takeover.mFencedAt = aContext.mNow;
--- a/Tests/Gateway/RetiredTermsTest.cpp
+++ b/Tests/Gateway/RetiredTermsTest.cpp
@@ -97,3 +97,27 @@
   driver.Run(2s);
   CHECK(driver.mStoredRecords.at(0).mRetiredTerm == 4);
 }
+
+TEST_CASE("A second order retires the term that the first one may have begun",
+          "[RetiredTerms]")
+{
+  // Guards against service in a term that nobody had shown to the promoter when
+  // it replaced it (ONE).
+  GatewayDriver driver;
+  driver.Server("s1").mDown = true;
+  const auto first = RunUntilPromotion(driver, 5s);
+  REQUIRE(first);
+  driver.Deliver(PromoteAnswered{ first->mCall, CallOutcome::Ok });
+  driver.Server("s1").mDown = false;
+  SECTION("while its server is away")
+  {
+    driver.Server(first->mServer).mDown = true;
+    REQUIRE(RunUntilPromotion(driver, 8s));
+    CHECK(driver.mStoredRecords.at(0).mRetiredTerm == 2);
+  }
+  SECTION("but not if no server leads it")
+  {
+    REQUIRE(RunUntilPromotion(driver, 8s));
+    CHECK(driver.mStoredRecords.at(0).mRetiredTerm == 1);
+  }
+}
