Group: Hand over from a primary that answers, and count its own log (LOST)

Cause: the replicas were paused while the primary still committed, so a new server that was not listed yet was the only one to receive some writes. The old primary, which had them, was passed over, since all counted copies were paused.

Change: a primary that answers steps down first, while hosts hold writes back and replicas receive its log; a replica that has all of it is promoted. In a fence the old primary's position counts, unless its writes reach no replica. If it is silent, any failed call to the store delays the list that is needed, and so does a server that is leaving or gone without another one in its place.

Why it works: a primary's own log has all that it acknowledged. A candidate that has as much is complete, whoever else received it.

--- a/Source/Catalogue/CatalogueState.h
+++ b/Source/Catalogue/CatalogueState.h
@@ -55,6 +55,8 @@
 /// What the store says.
 struct Catalogue
 {
+  /// When the last call to the store was made that failed.
+  Instant mFailedCallAt;
   std::array<TableProgress, kTableCount> mTables;
   std::uint64_t mRoutingVersion = 0;
   Duration mTransactionIdleTimeout{ 10'000'000 };
--- a/Source/Catalogue/Servers.cpp
+++ b/Source/Catalogue/Servers.cpp
@@ -88,6 +88,9 @@
   if (!isListedAgain && IsTableKnown(aContext, Table::Servers)) {
     backend.mJoinedAt = aContext.mNow;
   }
+  if (IsTableKnown(aContext, Table::Servers)) {
+    group.mLastJoinedAt = aContext.mNow;
+  }
   Log(aContext,
       LogSeverity::Info,
       "backend server is listed",
@@ -202,6 +205,9 @@
       { { "server", backend.mEntry.mName } });
   if (Group* const group = Find(aContext.mState.mGroups, backend.mGroup)) {
     std::erase(group->mServers, aServer);
+    if (!backend.mLeavingSince) {
+      group->mLastLostAt = aContext.mNow;
+    }
     if (group->mPrimary == aServer) {
       group->mPrimary = ServerId{};
     }
--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -104,6 +104,7 @@
 NoteUnreachable(Context& aContext, Table aTable, TableProgress& aProgress)
 {
   aProgress.mFailedCallAt = aProgress.mCalledAt;
+  NoteFailedCall(aContext, aProgress.mCalledAt);
   if (++aProgress.mFailures > 1) {
     return;
   }
@@ -417,6 +418,13 @@
   progress.mConfirmedAt = std::max(progress.mConfirmedAt, aAt);
 }
 
+void
+NoteFailedCall(Context& aContext, Instant aCalledAt)
+{
+  Instant& failedAt = aContext.mState.mCatalogue.mFailedCallAt;
+  failedAt = std::max(failedAt, aCalledAt);
+}
+
 void
 RegisterHost(Context& aContext)
 {
--- a/Source/Catalogue/Tables.h
+++ b/Source/Catalogue/Tables.h
@@ -31,6 +31,9 @@
 /// Has the store called for a table at once, even if another host reports it.
 void ConfirmTableSoon(Context& aContext, Table aTable);
 
+/// Notes that a call to the store, made at a time, was not answered or refused.
+void NoteFailedCall(Context& aContext, Instant aCalledAt);
+
 /// Has a table read as a whole.
 void RereadTable(Context& aContext, Table aTable);
 
--- a/Source/Group/Fencing.cpp
+++ b/Source/Group/Fencing.cpp
@@ -6,6 +6,7 @@
 
 #include "Gateway/Tuning.h"
 #include "Group/Copies.h"
+#include "Group/HiddenCopies.h"
 #include "Group/Sampling.h"
 
 namespace camphorstep::gateway {
@@ -43,15 +44,6 @@
     }));
 }
 
-bool
-IsPausedByTakeover(const Context& aContext,
-                   const Group& aGroup,
-                   const Backend& aBackend)
-{
-  return HasRecentStatus(aContext, aBackend) && !aBackend.mStatus->mPrimary &&
-         aBackend.mStatus->mPauseTerm == aGroup.mTakeover.mFenceTerm;
-}
-
 /// The number of servers whose pause by the takeover was seen at or after a
 /// time.
 std::size_t
@@ -63,23 +55,6 @@
   });
 }
 
-/// Whether the first paused server is the better candidate: the one that has
-/// received more, then one that is not leaving, then the lower id, so that all
-/// promoters choose alike.
-bool
-IsBetterCandidate(const Backend& aFirst, const Backend& aSecond)
-{
-  const Position first = aFirst.mStatus->mReceived;
-  const Position second = aSecond.mStatus->mReceived;
-  if (first != second) {
-    return first > second;
-  }
-  if (aFirst.mLeavingSince.has_value() != aSecond.mLeavingSince.has_value()) {
-    return !aFirst.mLeavingSince;
-  }
-  return aFirst.mId < aSecond.mId;
-}
-
 /// Describes the newest status of a server, for the log.
 std::string
 DescribeStatus(const Context& aContext, const Backend& aBackend)
@@ -100,6 +75,29 @@
 
 }
 
+bool
+IsPausedByTakeover(const Context& aContext,
+                   const Group& aGroup,
+                   const Backend& aBackend)
+{
+  return HasRecentStatus(aContext, aBackend) && !aBackend.mStatus->mPrimary &&
+         aBackend.mStatus->mPauseTerm == aGroup.mTakeover.mFenceTerm;
+}
+
+bool
+IsBetterCandidate(const Backend& aFirst, const Backend& aSecond)
+{
+  const Position first = aFirst.mStatus->mReceived;
+  const Position second = aSecond.mStatus->mReceived;
+  if (first != second) {
+    return first > second;
+  }
+  if (aFirst.mLeavingSince.has_value() != aSecond.mLeavingSince.has_value()) {
+    return !aFirst.mLeavingSince;
+  }
+  return aFirst.mId < aSecond.mId;
+}
+
 bool
 HasRecentStatus(const Context& aContext, const Backend& aBackend)
 {
@@ -205,18 +203,25 @@
          }) > 0;
 }
 
-const Backend*
-BestCandidate(const Context& aContext, const Group& aGroup)
+bool
+NeedsOldPrimary(const Context& aContext, const Group& aGroup)
 {
-  const ServerId old = aGroup.mTakeover.mOldPrimary;
+  const Takeover& takeover = aGroup.mTakeover;
   const std::size_t replicas =
     CountServers(aContext, aGroup, [&](const Backend& aBackend) {
-      return aBackend.mId != old &&
+      return aBackend.mId != takeover.mOldPrimary &&
              IsPausedByTakeover(aContext, aGroup, aBackend);
     });
-  // Every acknowledged write is on a replica, so the old primary is needed
-  // only if a replica is missing.
-  const bool needsOldPrimary = replicas + 1 < CountCopies(aGroup);
+  return takeover.mReason != TakeoverReason::NotReplicating ||
+         replicas + 1 < CountCopies(aGroup) ||
+         IsServerAwaited(aContext, aGroup);
+}
+
+const Backend*
+BestCandidate(const Context& aContext, const Group& aGroup)
+{
+  const ServerId old = aGroup.mTakeover.mOldPrimary;
+  const bool needsOldPrimary = NeedsOldPrimary(aContext, aGroup);
   const Backend* best = nullptr;
   for (const ServerId id : aGroup.mServers) {
     const Backend* const backend = Find(aContext.mState.mBackends, id);
--- a/Source/Group/Fencing.h
+++ b/Source/Group/Fencing.h
@@ -8,6 +8,16 @@
 /// at or after aSince. Then no server leads, and no term is unseen.
 bool AreAllPaused(const Context& aContext, const Group& aGroup, Instant aSince);
 
+/// Whether a server's recent status shows that it is paused by the takeover.
+bool IsPausedByTakeover(const Context& aContext,
+                        const Group& aGroup,
+                        const Backend& aBackend);
+
+/// Whether the first replica is the better candidate: the one that has received
+/// more, then one that is not leaving, then the lower id, so that all promoters
+/// choose alike.
+bool IsBetterCandidate(const Backend& aFirst, const Backend& aSecond);
+
 /// Whether a server's status was requested at most kMaxFenceStatusAge ago.
 bool HasRecentStatus(const Context& aContext, const Backend& aBackend);
 
@@ -40,8 +50,15 @@
 /// pause it.
 bool IsFenceBroken(const Context& aContext, const Group& aGroup);
 
+/// Whether the old primary may have acknowledged writes that no known replica
+/// has. A primary whose writes reach no replica has acknowledged none of them,
+/// if all other copies are known and paused. It would not replicate after it
+/// was promoted, either.
+bool NeedsOldPrimary(const Context& aContext, const Group& aGroup);
+
 /// Returns the paused server with the highest received position, which
-/// therefore has every acknowledged write; nullptr if there is none.
+/// therefore has every acknowledged write; nullptr if there is none. The old
+/// primary is left out if it is not needed.
 const Backend* BestCandidate(const Context& aContext, const Group& aGroup);
 
 /// Resumes the paused servers other than the primary. Returns whether no
--- a/Source/Group/GroupState.h
+++ b/Source/Group/GroupState.h
@@ -26,6 +26,8 @@
 enum class TakeoverPhase : std::uint8_t
 {
   None,
+  /// A primary that answers steps down while the replicas receive its log.
+  HandingOver,
   /// Replicas are being paused and the old primary is asked to step down.
   Fencing,
   /// Waits until no host has valid evidence for the old primary.
@@ -58,6 +60,8 @@
   Term mOldTerm = 0;
   ServerId mOldPrimary;
   Instant mStartedAt;
+  /// When the primary was seen to have stepped down in a handover.
+  std::optional<Instant> mSteppedDownAt;
   Instant mFencedAt;
   /// The term that has to be retired before a promotion is ordered, and since
   /// when the store is known to have it so. Zero until the fence is complete.
@@ -72,6 +76,8 @@
   Instant mOrderedAt;
   CallId mOrder;
   Instant mCallAfter;
+  /// Whether the order was given after a handover, without a fence.
+  bool mIsHandedOver = false;
   /// Whether a server was not paused while the call was underway, so that
   /// writes may have been acknowledged that the candidate lacks.
   bool mIsFenceBroken = false;
@@ -102,6 +108,10 @@
   std::vector<ServerId> mServers;
   /// Copies on servers that are no longer listed; see Group/Copies.h.
   std::vector<FormerCopy> mFormerCopies;
+  /// When a server last joined the group, and when one that was not leaving was
+  /// last removed; see Group/HiddenCopies.h.
+  std::optional<Instant> mLastJoinedAt;
+  std::optional<Instant> mLastLostAt;
 
   /// The server whose status shows it as primary of the highest known term, and
   /// that term.
--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -447,6 +447,10 @@
     return true;
   }
   LogLeaseNotWritten(aContext, aEvent);
+  if (aEvent.mOutcome == CallOutcome::Refused ||
+      aEvent.mOutcome == CallOutcome::Unknown) {
+    NoteFailedCall(aContext, promoter.mCallSentAt);
+  }
   // The row shows who holds the lease now.
   RereadTable(aContext, Table::Fleet);
   return true;
--- a/Source/Group/Takeover.cpp
+++ b/Source/Group/Takeover.cpp
@@ -6,6 +6,8 @@
 #include "Catalogue/Tables.h"
 #include "Gateway/Tuning.h"
 #include "Group/Fencing.h"
+#include "Group/Handover.h"
+#include "Group/HiddenCopies.h"
 #include "Group/Promoter.h"
 #include "Group/RetiredTerms.h"
 #include "Group/Sampling.h"
@@ -21,8 +23,6 @@
 /// the old primary: the candidate may have crashed before anybody saw it lead.
 constexpr Duration kVerifyTimeout = 1'500ms;
 static_assert(kVerifyTimeout + kStatusTimeout < kEvidenceProbation);
-/// How long after the store's return a server's entry may be missing.
-constexpr Duration kEntryReturnTimeout = 3s;
 
 /// Notes that no promotion can have been requested if two servers are not
 /// paused: before a promotion, all servers but one have to be.
@@ -67,6 +67,11 @@
   aGroup.mNoPrimarySince.reset();
   aGroup.mReplicationStalledSince.reset();
   LogTakeoverStart(aContext, aGroup);
+  if (CanHandOver(aContext, aGroup, aReason)) {
+    RetireTerm(aContext, aGroup, aGroup.mTerm);
+    SetPhase(aContext, aGroup, TakeoverPhase::HandingOver);
+    return;
+  }
   SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
   ContinueFencing(aContext, aGroup);
 }
@@ -135,6 +140,24 @@
          primary->mLastReceivedAt >= takeover.mStartedAt;
 }
 
+void
+AdvanceHandingOver(Context& aContext, Group& aGroup)
+{
+  switch (ContinueHandover(aContext, aGroup)) {
+    case HandoverProgress::Waiting:
+      return;
+    case HandoverProgress::Ready:
+      aGroup.mTakeover.mIsHandedOver = true;
+      RequestPromotion(aContext, aGroup, *FindSuccessor(aContext, aGroup));
+      return;
+    case HandoverProgress::Failed:
+      LogHandoverFailed(aContext, aGroup);
+      SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
+      ContinueFencing(aContext, aGroup);
+      return;
+  }
+}
+
 /// Leaves the primary in place. A replica that was paused is resumed later, as
 /// after any interrupted takeover.
 void
@@ -215,10 +238,9 @@
     }
     return;
   }
-  const Instant returned =
-    ProgressOf(aContext, Table::Servers).mFailedCallAt + kEntryReturnTimeout;
-  if (!IsTableConfirmedSince(
-        aContext, Table::Servers, std::max(waitEnd, returned))) {
+  const Instant needed = ListNeededSince(aContext, aGroup, waitEnd);
+  if (!IsOldPrimaryComplete(aContext, aGroup) &&
+      !IsTableConfirmedSince(aContext, Table::Servers, needed)) {
     // A server that was listed meanwhile may have acknowledged writes. After a
     // failure the table has its own time of the next call.
     if (!IsTableFailing(aContext, Table::Servers)) {
@@ -243,6 +265,14 @@
 AdvancePromoting(Context& aContext, Group& aGroup)
 {
   Takeover& takeover = aGroup.mTakeover;
+  if (takeover.mIsHandedOver) {
+    if (!takeover.mCall) {
+      // Without a clear answer the next order needs a fence.
+      takeover.mIsHandedOver = false;
+      SetPhase(aContext, aGroup, TakeoverPhase::Fencing);
+    }
+    return;
+  }
   NoteFenceBroken(aContext, aGroup);
   if (takeover.mCall) {
     StepDownOldPrimary(aContext, aGroup);
@@ -318,6 +348,9 @@
         CleanUpAfterTakeover(aContext, aGroup);
       }
       break;
+    case TakeoverPhase::HandingOver:
+      AdvanceHandingOver(aContext, aGroup);
+      break;
     case TakeoverPhase::Fencing:
       AdvanceFencing(aContext, aGroup);
       break;
--- a/Source/Group/TakeoverLog.cpp
+++ b/Source/Group/TakeoverLog.cpp
@@ -76,6 +76,35 @@
         { "fence_term", std::to_string(takeover.mFenceTerm) } });
 }
 
+void
+LogSteppedDown(Context& aContext, const Group& aGroup)
+{
+  const Takeover& takeover = aGroup.mTakeover;
+  Log(aContext,
+      LogSeverity::Info,
+      "primary has stepped down",
+      { { "group", aGroup.mName },
+        { "term", std::to_string(aGroup.mTerm) },
+        { "statuses", DescribeStatuses(aContext, aGroup) },
+        { "since_start_ms",
+          Milliseconds(aContext.mNow - takeover.mStartedAt) } });
+}
+
+void
+LogHandoverFailed(Context& aContext, const Group& aGroup)
+{
+  const Takeover& takeover = aGroup.mTakeover;
+  Log(aContext,
+      LogSeverity::Warning,
+      "primary cannot hand over; pausing all servers",
+      { { "group", aGroup.mName },
+        { "term", std::to_string(aGroup.mTerm) },
+        { "stepped_down", takeover.mSteppedDownAt ? "yes" : "no" },
+        { "statuses", DescribeStatuses(aContext, aGroup) },
+        { "since_start_ms",
+          Milliseconds(aContext.mNow - takeover.mStartedAt) } });
+}
+
 void
 LogTakeoverLeft(Context& aContext, const Group& aGroup)
 {
--- a/Source/Group/TakeoverLog.h
+++ b/Source/Group/TakeoverLog.h
@@ -25,6 +25,12 @@
 /// A server is not paused although an order to promote is underway.
 void LogFenceBroken(Context& aContext, const Group& aGroup);
 
+/// The primary has stepped down in a handover.
+void LogSteppedDown(Context& aContext, const Group& aGroup);
+
+/// A handover is given up, and the takeover goes on with a fence.
+void LogHandoverFailed(Context& aContext, const Group& aGroup);
+
 /// The takeover waits for the list of servers.
 void LogListWait(Context& aContext, const Group& aGroup);
 
--- a/Source/Session/Execution.cpp
+++ b/Source/Session/Execution.cpp
@@ -101,7 +101,8 @@
   // was queued.
   std::optional<Position> after;
   const bool isPrimary =
-    group != nullptr && ConfirmedPrimary(aContext, *group) == backend;
+    group != nullptr && ConfirmedPrimary(aContext, *group) == backend &&
+    !IsHeldBack(aContext, aSession, *group);
   if (!isPrimary) {
     const auto required = NeedsPrimary(aContext, aSession)
                             ? std::nullopt
--- a/Source/Session/Routing.cpp
+++ b/Source/Session/Routing.cpp
@@ -6,6 +6,7 @@
 #include "Backend/Pool.h"
 #include "Gateway/Tuning.h"
 #include "Group/Evidence.h"
+#include "Group/RetiredTerms.h"
 #include "Group/Sampling.h"
 
 namespace camphorstep::gateway {
@@ -129,7 +130,8 @@
 ChooseServer(Context& aContext, const Session& aSession, Group& aGroup)
 {
   Backend* primary = ConfirmedPrimary(aContext, aGroup);
-  if (primary != nullptr && !CanTakeNewWork(*primary, aContext.mNow)) {
+  if (primary != nullptr && (!CanTakeNewWork(*primary, aContext.mNow) ||
+                             IsHeldBack(aContext, aSession, aGroup))) {
     primary = nullptr;
   }
   const auto required = NeedsPrimary(aContext, aSession)
@@ -184,6 +186,18 @@
   }
 }
 
+bool
+IsHeldBack(const Context& aContext,
+           const Session& aSession,
+           const Group& aGroup)
+{
+  const Transaction& transaction = aSession.mTransaction;
+  const bool mayWrite = transaction.mState == TransactionState::Open
+                          ? !transaction.mReadOnly
+                          : IsWrite(aSession, aSession.mActive->mStatement);
+  return mayWrite && IsTermRetired(aContext, aGroup);
+}
+
 const Route*
 RouteOf(const Context& aContext, const Session& aSession)
 {
--- a/Source/Session/Routing.h
+++ b/Source/Session/Routing.h
@@ -19,6 +19,12 @@
 /// current one of its database; nullptr if there is none.
 const Route* RouteOf(const Context& aContext, const Session& aSession);
 
+/// Whether a statement waits because it may write: the primary's term is
+/// retired, so the primary is going to step down.
+bool IsHeldBack(const Context& aContext,
+                const Session& aSession,
+                const Group& aGroup);
+
 /// Whether only the primary may run the active statement of a session.
 bool NeedsPrimary(const Context& aContext, const Session& aSession);
 
