--- a/Source/Session/Execution.cpp
+++ b/Source/Session/Execution.cpp
@@ -100,9 +100,9 @@
   // The primary or the required position may have changed while the statement
   // was queued.
   std::optional<Position> after;
-  const bool isPrimary =
-    group != nullptr && ConfirmedPrimary(aContext, *group) == backend &&
-    !IsHeldBack(aContext, aSession, *group);
+  const bool isPrimary = group != nullptr &&
+                         ConfirmedPrimary(aContext, *group) == backend &&
+                         !IsHeldBack(aContext, aSession, *group);
   if (!isPrimary) {
     const auto required = NeedsPrimary(aContext, aSession)
                             ? std::nullopt
