--- a/Source/Group/Evidence.cpp
+++ b/Source/Group/Evidence.cpp
@@ -7,6 +7,7 @@
 #include "Catalogue/Tables.h"
 #include "Gateway/Tuning.h"
 #include "Group/Copies.h"
+#include "Group/Promoter.h"
 #include "Group/RetiredTerms.h"
 #include "Group/Sampling.h"
 #include "Group/Takeover.h"
@@ -16,6 +17,11 @@
 
 namespace {
 
+/// How long the promoter's reports name the retired terms after evidence has
+/// begun on it, so that other hosts need not call the store when it begins
+/// there.
+constexpr Duration kBeginReportTime = 5s;
+
 /// Whether a replica was paused in this term a short time ago.
 bool
 WasPaused(const Backend& aBackend)
@@ -140,6 +146,12 @@
     }
     return;
   }
+  if (HoldsPromoterLease(aContext) && !ContinuesEvidence(aGroup, *times)) {
+    // It is about to begin on the hosts that get these statuses by reports,
+    // too.
+    Instant& until = aContext.mState.mCatalogue.mRetiredTerms.mReportedUntil;
+    until = std::max(until, aContext.mNow + kBeginReportTime);
+  }
   aGroup.mProvedUntil = aGroup.mProvedTerm == aGroup.mTerm
                           ? std::max(aGroup.mProvedUntil, end)
                           : end;
