Catalogue: A call that is lost on its way does not delay a promotion

Cause: any failed call of any table made the promoter wait 3 s for entries, also one that was lost, while the store was there.

Change: calls for other tables and writes of the lease count if the store refused them; calls for the servers' table count as before.

--- a/Source/Catalogue/Tables.cpp
+++ b/Source/Catalogue/Tables.cpp
@@ -101,10 +101,17 @@
 }
 
 void
-NoteUnreachable(Context& aContext, Table aTable, TableProgress& aProgress)
+NoteUnreachable(Context& aContext,
+                Table aTable,
+                TableProgress& aProgress,
+                CallOutcome aOutcome)
 {
   aProgress.mFailedCallAt = aProgress.mCalledAt;
-  NoteFailedCall(aContext, aProgress.mCalledAt);
+  // That a call for another table was lost on its way says nothing of what
+  // servers have written.
+  if (aTable == Table::Servers || aOutcome == CallOutcome::Refused) {
+    NoteFailedCall(aContext, aProgress.mCalledAt);
+  }
   if (++aProgress.mFailures > 1) {
     return;
   }
@@ -214,7 +221,7 @@
     RereadTable(aContext, aAnswer.mTable);
     return;
   }
-  NoteUnreachable(aContext, aAnswer.mTable, aProgress);
+  NoteUnreachable(aContext, aAnswer.mTable, aProgress, aAnswer.mOutcome);
   ArmPoll(aContext, aAnswer.mTable, aContext.mNow + RetryDelay(aProgress));
 }
 
--- a/Source/Group/Promoter.cpp
+++ b/Source/Group/Promoter.cpp
@@ -447,8 +447,7 @@
     return true;
   }
   LogLeaseNotWritten(aContext, aEvent);
-  if (aEvent.mOutcome == CallOutcome::Refused ||
-      aEvent.mOutcome == CallOutcome::Unknown) {
+  if (aEvent.mOutcome == CallOutcome::Refused) {
     NoteFailedCall(aContext, promoter.mCallSentAt);
   }
   // The row shows who holds the lease now.
